Build skeleton, schema of messages and settings, shared runtime

Cause: work side by side needs a build, a formatter and a contract between modules before work can go on side by side. Ruled out: sealed hierarchies through oneOf (poor output of the generator); frames with optional batches instead. Change: Maven modules, OpenAPI schema with generated Kotlin, checked settings, JSON logs, HTTP server and client, placement interfaces. Conclusion: modules can be filled independently.

--- /dev/null
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/ClaimTable.kt
@@ -0,0 +1,14 @@
+package io.bluebellramp.messages
+
+import kotlinx.serialization.Serializable
+
+/** All claims of one member, for a member that restarted. */
+@Serializable
+data class ClaimTable(
+    /** Version of the membership at the member. */
+    val membership: Long,
+    /** False if the member itself abstains. */
+    val complete: Boolean,
+    /** The claims. */
+    val claims: List<HeldClaim>,
+)
--- /dev/null
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/ErrorBody.kt
@@ -0,0 +1,13 @@
+package io.bluebellramp.messages
+
+import kotlinx.serialization.Serializable
+
+/** Why a call was refused or a submission did not complete. */
+@Serializable
+data class ErrorBody(
+    val code: ErrorCode,
+    /** One sentence for people. */
+    val message: String,
+    /** Each violation of the schema or of a limit. */
+    val violations: List<Violation> = emptyList(),
+)
--- /dev/null
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/RecordKind.kt
@@ -0,0 +1,17 @@
+package io.bluebellramp.messages
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** What a record carries. */
+@Serializable
+enum class RecordKind {
+    @SerialName("command")
+    COMMAND,
+
+    @SerialName("membership")
+    MEMBERSHIP,
+
+    @SerialName("no_op")
+    NO_OP,
+}
--- /dev/null
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/RequestSubmission.kt
@@ -0,0 +1,20 @@
+package io.bluebellramp.messages
+
+import io.bluebellramp.core.ServiceId
+import io.bluebellramp.core.SubmissionId
+import io.bluebellramp.core.TeamId
+import kotlinx.serialization.Serializable
+
+/** A single request that takes a connection of a target and no slot. */
+@Serializable
+data class RequestSubmission(
+    val submission: SubmissionId,
+    val service: ServiceId,
+    /** Opaque text for the target. */
+    val payload: String,
+    val team: TeamId? = null,
+    /** Time from arrival after which the answer is of no use (ms). */
+    val deadlineMillis: Long? = null,
+    /** True if the request may run twice without harm. */
+    val idempotent: Boolean = false,
+)
--- /dev/null
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/SampleTargetSettings.kt
@@ -0,0 +1,19 @@
+package io.bluebellramp.messages
+
+import io.bluebellramp.core.Address
+import io.bluebellramp.core.ServiceId
+import io.bluebellramp.core.TargetId
+import kotlinx.serialization.Serializable
+
+/** Settings of the sample target. */
+@Serializable
+data class SampleTargetSettings(
+    val target: TargetId,
+    val service: ServiceId,
+    val listen: Address,
+    val agent: Address,
+    /** File that gets one line for each start. */
+    val startsFile: String? = null,
+    /** Folder for the log file. Absent logs to the console. */
+    val logFolder: String? = null,
+)
--- /dev/null
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/TaskReference.kt
@@ -0,0 +1,14 @@
+package io.bluebellramp.messages
+
+import io.bluebellramp.core.SubmissionId
+import kotlinx.serialization.Serializable
+
+/** One attempt at one task. */
+@Serializable
+data class TaskReference(
+    val submission: SubmissionId,
+    /** Index of the task in its job. */
+    val task: Int,
+    /** Number of the attempt from 0. */
+    val attempt: Int,
+)
--- /dev/null
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/HttpLink.kt
@@ -0,0 +1,40 @@
+package io.bluebellramp.runtime
+
+import io.bluebellramp.core.WireJson
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.java.Java
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.plugins.contentnegotiation.ContentNegotiation
+import io.ktor.client.plugins.defaultRequest
+import io.ktor.client.plugins.websocket.WebSockets
+import io.ktor.client.request.header
+import io.ktor.http.HttpHeaders
+import io.ktor.serialization.kotlinx.json.json
+import java.net.http.HttpClient.Version
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Returns an HTTP client for links between processes. It keeps its connections and never sends a request twice by itself.
+ *
+ * Use POST for anything that must not be repeated.
+ *
+ * @param key sent with every request if not null
+ * @param timeout bound on a whole request; null for calls that wait long
+ */
+fun httpLink(
+    key: SharedKey? = null,
+    connectTimeout: Duration = 1.seconds,
+    timeout: Duration? = null,
+): HttpClient =
+    HttpClient(Java) {
+        expectSuccess = false
+        engine { protocolVersion = Version.HTTP_1_1 }
+        install(ContentNegotiation) { json(WireJson) }
+        install(WebSockets)
+        install(HttpTimeout) {
+            connectTimeoutMillis = connectTimeout.inWholeMilliseconds
+            requestTimeoutMillis = timeout?.inWholeMilliseconds
+        }
+        if (key != null) defaultRequest { header(HttpHeaders.Authorization, key.header) }
+    }
--- /dev/null
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/Logging.kt
@@ -0,0 +1,72 @@
+package io.bluebellramp.runtime
+
+import org.tinylog.ThreadContext
+import org.tinylog.configuration.Configuration
+import org.tinylog.kotlin.Logger
+import java.nio.file.Path
+
+/** Fields of a log line besides its time, level and message. Each is a key of [Decision.fields]. */
+val LOG_FIELDS: List<String> =
+    listOf(
+        "decision",
+        "submission",
+        "task",
+        "attempt",
+        "service",
+        "team",
+        "target",
+        "zone",
+        "entry",
+        "agent",
+        "revision",
+        "reason",
+        "candidates",
+    )
+
+/**
+ * Sends the log to [file] as JSON lines, or to the console as text if [file] is null.
+ *
+ * Call it before the first line is logged.
+ */
+fun configureLogging(file: Path?) {
+    Configuration.set("level", "info")
+    Configuration.set("level@io.ktor", "warn")
+    Configuration.set("level@io.netty", "warn")
+    Configuration.set("autoshutdown", "true")
+    if (file == null) {
+        Configuration.set("writer", "console")
+        Configuration.set("writer.format", "{date:yyyy-MM-dd HH:mm:ss.SSS} {level} {message} {context: decision} {context: submission}")
+        return
+    }
+    file
+        .toAbsolutePath()
+        .parent
+        ?.toFile()
+        ?.mkdirs()
+    Configuration.set("writingthread", "true")
+    Configuration.set("writer", "json")
+    Configuration.set("writer.file", file.toString())
+    Configuration.set("writer.format", "LDJSON")
+    Configuration.set("writer.append", "true")
+    Configuration.set("writer.buffered", "true")
+    Configuration.set("writer.field.time", "{date:yyyy-MM-dd'T'HH:mm:ss.SSSXXX}")
+    Configuration.set("writer.field.level", "{level}")
+    Configuration.set("writer.field.message", "{message}")
+    LOG_FIELDS.forEach { Configuration.set("writer.field.$it", "{context: $it}") }
+}
+
+/** A routing or placement decision, for one log line. */
+class Decision(
+    val kind: String,
+    val reason: String,
+    val fields: Map<String, Any> = emptyMap(),
+)
+
+/** Logs [decision] as one line. The fields follow a task through all processes. */
+fun logDecision(decision: Decision) {
+    ThreadContext.put("decision", decision.kind)
+    ThreadContext.put("reason", decision.reason)
+    decision.fields.forEach { (name, value) -> ThreadContext.put(name, value.toString()) }
+    Logger.info("decision")
+    ThreadContext.clear()
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/Program.kt
@@ -0,0 +1,98 @@
+package io.bluebellramp.runtime
+
+import io.bluebellramp.messages.Violation
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import sun.misc.Signal
+import java.nio.file.Path
+import java.util.concurrent.CountDownLatch
+import kotlin.system.exitProcess
+
+/** Exit codes of every program. */
+object ExitCode {
+    /** Did what was asked. */
+    const val OK = 0
+
+    /** Failed while running. */
+    const val FAILED = 1
+
+    /** Wrong arguments or settings; nothing was started. */
+    const val USAGE = 2
+
+    /** The system refused or did not complete what was asked. */
+    const val REFUSED = 3
+}
+
+/** The version of this build. */
+const val VERSION = "0.1.0"
+
+/** A program that has started and can be stopped without cutting work. */
+interface RunningProgram {
+    /** Finishes what is in flight, then returns. */
+    fun stop()
+}
+
+/**
+ * Runs a server program: reads its arguments and settings, starts it, and on SIGTERM or SIGINT stops it and exits with 0.
+ *
+ * @param name name of the binary
+ * @param reader reads the settings
+ * @param logName tells the file name of the log from the settings and the folder, or null for the console
+ * @param start starts the program and returns once it listens
+ */
+fun <T> runServer(
+    name: String,
+    args: Array<String>,
+    reader: SettingsReader<T>,
+    logFile: (T) -> Path?,
+    start: (T) -> RunningProgram,
+) {
+    if ("--version" in args) {
+        println("$name $VERSION")
+        exitProcess(ExitCode.OK)
+    }
+    val parser = ArgParser(name)
+    val config by parser.option(ArgType.String, fullName = "config", description = "Settings file (JSON)")
+    val check by parser.option(ArgType.Boolean, fullName = "check", description = "Check the settings and exit").default(false)
+    parser.option(ArgType.Boolean, fullName = "version", description = "Print the version and exit").default(false)
+    parser.parse(args)
+    val file = config ?: usageError("$name: --config FILE is required")
+    val settings =
+        when (val result = reader.read(Path.of(file))) {
+            is SettingsResult.Valid -> result.settings
+            is SettingsResult.Invalid -> usageError(result.violations.joinToString("\n") { "$file: ${it.wording()}" })
+        }
+    if (check) {
+        println("$file: no errors")
+        exitProcess(ExitCode.OK)
+    }
+    configureLogging(logFile(settings))
+    serve(name) { start(settings) }
+}
+
+/** The violation in one line. */
+fun Violation.wording(): String = "$path: $message"
+
+private fun usageError(message: String): Nothing {
+    System.err.println(message)
+    exitProcess(ExitCode.USAGE)
+}
+
+private fun serve(
+    name: String,
+    start: () -> RunningProgram,
+) {
+    val stopRequested = CountDownLatch(1)
+    listOf("TERM", "INT").forEach { signal -> Signal.handle(Signal(signal)) { stopRequested.countDown() } }
+    val program =
+        try {
+            start()
+        } catch (e: Exception) {
+            System.err.println("$name: ${e.message ?: e.javaClass.simpleName}")
+            exitProcess(ExitCode.FAILED)
+        }
+    stopRequested.await()
+    program.stop()
+    exitProcess(ExitCode.OK)
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/SettingsReader.kt
@@ -0,0 +1,67 @@
+package io.bluebellramp.runtime
+
+import io.bluebellramp.core.StrictJson
+import io.bluebellramp.messages.Violation
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** What came of reading a settings file. */
+sealed interface SettingsResult<out T> {
+    /** The settings are whole and within their limits. */
+    data class Valid<T>(
+        val settings: T,
+    ) : SettingsResult<T>
+
+    /** The settings have [violations]; all of them are listed. */
+    data class Invalid(
+        val violations: List<Violation>,
+    ) : SettingsResult<Nothing>
+}
+
+/**
+ * Reads and checks the settings of a program.
+ *
+ * @param type name of the settings type in the schema
+ * @param serializer decodes the checked text
+ * @param check further checks that the schema cannot express
+ */
+class SettingsReader<T>(
+    private val type: String,
+    private val serializer: KSerializer<T>,
+    private val check: (T) -> List<Violation> = { emptyList() },
+) {
+    /** Reads [file]. A file that cannot be read is a violation at `$`. */
+    fun read(file: Path): SettingsResult<T> =
+        try {
+            parse(Files.readString(file))
+        } catch (e: IOException) {
+            SettingsResult.Invalid(listOf(Violation(path = "$", message = "cannot read $file: ${e.message}")))
+        }
+
+    /** Checks and decodes [text]. */
+    fun parse(text: String): SettingsResult<T> {
+        val violations = SchemaValidator.violations(text, type)
+        if (violations.isNotEmpty()) return SettingsResult.Invalid(violations)
+        return try {
+            val settings = StrictJson.decodeFromString(serializer, text)
+            val further = check(settings)
+            if (further.isEmpty()) SettingsResult.Valid(settings) else SettingsResult.Invalid(further)
+        } catch (e: SerializationException) {
+            SettingsResult.Invalid(
+                listOf(
+                    Violation(
+                        path = "$",
+                        message =
+                            e.message
+                                .orEmpty()
+                                .lineSequence()
+                                .first(),
+                    ),
+                ),
+            )
+        }
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/SharedKey.kt
@@ -0,0 +1,51 @@
+package io.bluebellramp.runtime
+
+import java.nio.file.Files
+import java.nio.file.Path
+import java.nio.file.attribute.PosixFilePermission
+import java.security.MessageDigest
+
+/** The secret that operators and our own processes share. It is sent as a bearer token. */
+class SharedKey internal constructor(
+    private val secret: String,
+) {
+    /** The value of the `Authorization` header. */
+    val header: String get() = "Bearer $secret"
+
+    /** Tells in constant time whether [header] carries this key. */
+    fun matches(header: String?): Boolean = MessageDigest.isEqual(this.header.toByteArray(), header.orEmpty().toByteArray())
+
+    companion object {
+        private const val MIN_LENGTH = 16
+        private val forbidden =
+            setOf(
+                PosixFilePermission.GROUP_READ,
+                PosixFilePermission.GROUP_WRITE,
+                PosixFilePermission.OTHERS_READ,
+                PosixFilePermission.OTHERS_WRITE,
+            )
+
+        /**
+         * Reads the key from [file], or returns null if [file] is null.
+         *
+         * @throws IllegalArgumentException if others may read the file, if the key is short, or if there is no key and
+         *   [listenHost] is not a loopback address
+         */
+        fun read(
+            file: String?,
+            listenHost: String,
+        ): SharedKey? {
+            if (file == null) {
+                require(isLoopback(listenHost)) { "keyFile is required unless the process listens on loopback; it listens on $listenHost" }
+                return null
+            }
+            val path = Path.of(file)
+            require(Files.getPosixFilePermissions(path).none { it in forbidden }) { "$file must be readable by its owner only" }
+            val secret = Files.readString(path).trim()
+            require(secret.length >= MIN_LENGTH) { "$file must hold at least $MIN_LENGTH characters" }
+            return SharedKey(secret)
+        }
+
+        private fun isLoopback(host: String) = host.startsWith("127.") || host == "localhost" || host == "::1" || host == "[::1]"
+    }
+}
