--- /dev/null
+++ b/cli/src/main/kotlin/io/bluebellramp/cli/Command.kt
@@ -0,0 +1,45 @@
+package io.bluebellramp.cli
+
+import io.bluebellramp.runtime.ExitCode
+import kotlinx.cli.ArgParser
+import kotlinx.coroutines.runBlocking
+
+/**
+ * One command of the command line.
+ *
+ * @property name the words that select it
+ * @property summary what it does, in one line
+ */
+internal abstract class Command(
+    val name: String,
+    val summary: String,
+) {
+    val words: List<String> = name.split(' ')
+
+    /** Parses [args] and runs the command. Returns the exit code. */
+    fun run(args: List<String>): Int {
+        val parser = ArgParser("$PROGRAM $name")
+        val common = CommonOptions(parser)
+        val action = declare(parser)
+        parser.parse(args.toTypedArray())
+        return when (val result = common.session()) {
+            is SessionResult.Open -> result.session.use { runBlocking { action.execute(it) } }
+            is SessionResult.Invalid -> usageError(result.message)
+        }
+    }
+
+    /** Declares the options of the command and returns what to do once they are parsed. */
+    protected abstract fun declare(parser: ArgParser): Action
+}
+
+/** What a command does once its arguments are parsed. */
+internal fun interface Action {
+    /** Runs it and returns the exit code. */
+    suspend fun execute(session: Session): Int
+}
+
+/** Prints [message] as an error in the arguments. */
+internal fun usageError(message: String): Int {
+    System.err.println(message)
+    return ExitCode.USAGE
+}
--- /dev/null
+++ b/cli/src/main/kotlin/io/bluebellramp/cli/ControlClient.kt
@@ -0,0 +1,93 @@
+package io.bluebellramp.cli
+
+import io.bluebellramp.core.Address
+import io.bluebellramp.core.WireJson
+import io.bluebellramp.messages.ChangeRequest
+import io.bluebellramp.messages.ChangeResponse
+import io.bluebellramp.messages.ConfigurationView
+import io.bluebellramp.messages.ErrorCode
+import io.bluebellramp.messages.MembershipRequest
+import io.bluebellramp.messages.StatusView
+import io.ktor.client.HttpClient
+import io.ktor.client.request.get
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.http.ContentType
+import io.ktor.http.contentType
+import kotlinx.coroutines.delay
+import kotlinx.serialization.KSerializer
+import java.io.IOException
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Calls the control processes, whichever answers.
+ *
+ * A change is resent under its change id after a lost answer, which applies it once.
+ */
+internal class ControlClient(
+    private val http: HttpClient,
+    private val controls: List<Address>,
+) {
+    /** Reads the accepted configuration. */
+    suspend fun configuration(): CallResult<ConfigurationView> = call(ConfigurationView.serializer()) { http.get("http://$it/v1/config") }
+
+    /** Reads the status as the leader sees it. */
+    suspend fun status(): CallResult<StatusView> = call(StatusView.serializer()) { http.get("http://$it/v1/status") }
+
+    /** Makes a change and waits until it is in force if [wait]. */
+    suspend fun change(
+        request: ChangeRequest,
+        wait: Boolean,
+    ): CallResult<ChangeResponse> =
+        call(ChangeResponse.serializer()) {
+            http.post("http://$it/v1/changes?wait=$wait") {
+                contentType(ContentType.Application.Json)
+                setBody(WireJson.encodeToString(ChangeRequest.serializer(), request))
+            }
+        }
+
+    /** Changes the membership. It is sent once, since a repeat could be refused although the first took effect. */
+    suspend fun changeMembership(request: MembershipRequest): CallResult<StatusView> =
+        call(StatusView.serializer()) {
+            http.post("http://$it/v1/members") {
+                contentType(ContentType.Application.Json)
+                setBody(WireJson.encodeToString(MembershipRequest.serializer(), request))
+            }
+        }
+
+    private suspend fun <T> call(
+        serializer: KSerializer<T>,
+        send: suspend (Address) -> HttpResponse,
+    ): CallResult<T> {
+        if (controls.isEmpty()) return CallResult.Unreachable("no control process is named; use --control or --config")
+        var last: CallResult<T> = CallResult.Unreachable("no control process answered")
+        repeat(ROUNDS) {
+            for (control in controls) {
+                last = attempt(control, serializer, send)
+                if (!last.isWorthAnother()) return last
+            }
+            delay(PAUSE)
+        }
+        return last
+    }
+
+    private suspend fun <T> attempt(
+        control: Address,
+        serializer: KSerializer<T>,
+        send: suspend (Address) -> HttpResponse,
+    ): CallResult<T> =
+        try {
+            send(control).decode(serializer)
+        } catch (e: IOException) {
+            CallResult.Unreachable("$control: ${e.message ?: e.javaClass.simpleName}")
+        }
+
+    private fun CallResult<*>.isWorthAnother() =
+        this is CallResult.Unreachable || (this is CallResult.Refused && error.code == ErrorCode.NO_LEADER)
+
+    private companion object {
+        const val ROUNDS = 20
+        val PAUSE = 250.milliseconds
+    }
+}
--- /dev/null
+++ b/cli/src/main/kotlin/io/bluebellramp/cli/MemberCommands.kt
@@ -0,0 +1,75 @@
+package io.bluebellramp.cli
+
+import io.bluebellramp.core.Address
+import io.bluebellramp.core.MemberId
+import io.bluebellramp.messages.MembershipAction
+import io.bluebellramp.messages.MembershipRequest
+import io.bluebellramp.messages.StatusView
+import io.bluebellramp.runtime.ExitCode
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.required
+
+/** Prints the members of the control cluster. */
+internal class MemberListCommand : Command(name = "control list", summary = "Print the members of the control cluster") {
+    override fun declare(parser: ArgParser) =
+        Action { session ->
+            session.control.status().report(session.output) { status ->
+                session.output.print(status, StatusView.serializer()) { it.membersText() }
+                ExitCode.OK
+            }
+        }
+}
+
+/** Adds a member. */
+internal class MemberAddCommand : Command(name = "control add", summary = "Add a member that was started with joining=true") {
+    override fun declare(parser: ArgParser): Action {
+        val member by parser.argument(ArgType.String, fullName = "member", description = "New member id")
+        val address by parser.option(ArgType.String, fullName = "address", description = "HOST:PORT of the member").required()
+        return Action { changeMembers(it, MembershipRequest(MembershipAction.ADD, MemberId(member), Address(address))) }
+    }
+}
+
+/** Removes a member for good. */
+internal class MemberRemoveCommand : Command(name = "control remove", summary = "Remove a member; its id never comes back") {
+    override fun declare(parser: ArgParser): Action {
+        val member by parser.argument(ArgType.String, fullName = "member", description = "Member id")
+        return Action { changeMembers(it, MembershipRequest(MembershipAction.REMOVE, MemberId(member))) }
+    }
+}
+
+/** Replaces a member whose disk is lost. */
+internal class MemberReplaceCommand : Command(name = "control replace", summary = "Replace a lost member by a new one in one step") {
+    override fun declare(parser: ArgParser): Action {
+        val replaced by parser.argument(ArgType.String, fullName = "lost", description = "Member id that is lost")
+        val member by parser.option(ArgType.String, fullName = "by", description = "New member id").required()
+        val address by parser.option(ArgType.String, fullName = "address", description = "HOST:PORT of the new member").required()
+        return Action {
+            changeMembers(it, MembershipRequest(MembershipAction.REPLACE, MemberId(member), Address(address), MemberId(replaced)))
+        }
+    }
+}
+
+private suspend fun changeMembers(
+    session: Session,
+    request: MembershipRequest,
+): Int =
+    session.control.changeMembership(request).report(session.output) { status ->
+        session.output.print(status, StatusView.serializer()) { it.membersText() }
+        ExitCode.OK
+    }
+
+/** A line for each member. */
+internal fun StatusView.membersText(): String =
+    members.joinToString("\n") { member ->
+        val role =
+            if (member.member == leader?.member) {
+                "leader"
+            } else if (member.voting) {
+                "voter"
+            } else {
+                "learner"
+            }
+        val behind = member.matchIndex?.let { "  behind ${maxOf(0, commitIndex - it)}" }.orEmpty()
+        "${member.member}  ${member.address}  $role$behind"
+    }
