--- a/placement/src/main/kotlin/io/bluebellramp/placement/GrantPolicy.kt
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/GrantPolicy.kt
@@ -7,11 +7,13 @@
  *
  * @property unspent credits granted to the entry and neither spent nor returned
  * @property demand what waits there, as last reported
+ * @property recalled how many of the unspent credits have been asked back without an answer yet
  */
 data class EntryStanding(
     val entry: EntryId,
     val unspent: Int,
     val demand: QueueDemand,
+    val recalled: Int = 0,
 )
 
 /**
--- a/placement/src/main/kotlin/io/bluebellramp/placement/JobQueue.kt
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/JobQueue.kt
@@ -66,6 +66,9 @@
     /** Returns what waits. */
     fun demand(now: Duration): QueueDemand
 
+    /** Waiting tasks that would start before those of a new job of [tasks] tasks. */
+    fun tasksAhead(tasks: Int): Int = waiting
+
     /** Tasks that wait, whether or not their quota lets them start. */
     val waiting: Int
 }
