--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -159,3 +159,30 @@
 }
 
 starts_report() { "$CLUSTER_ROOT/bin/bluebellramp-bench" starts "$CLUSTER_FOLDER"/starts/*.txt; }
+
+# now_millis: the time of day (ms since the epoch).
+now_millis() { date +%s%3N; }
+
+# new_submission: a new submission id (UUID version 7).
+new_submission() {
+  local now
+  now=$(now_millis)
+  printf '%08x-%04x-7%03x-a%03x-%04x%04x%04x\n' $((now >> 16)) $((now & 65535)) $((RANDOM % 4096)) $((RANDOM % 4096)) $RANDOM $RANDOM $RANDOM
+}
+
+# answer_field FILE NAME: a field of an answer that was printed with --json.
+answer_field() { sed -n "s/^ *\"$2\": \"\{0,1\}\([^\",]*\)\"\{0,1\},*\$/\1/p" "$1" | head -1; }
+
+# submit_to ENTRIES ID TASKS PAYLOAD FILE: submits a job of equal tasks and keeps the answer in FILE.
+submit_to() {
+  "$CLUSTER_ROOT/bin/bluebellrampctl" submit --entry "$1" --service "$SERVICE" --submission "$2" --tasks "$3" --payload "$4" --json >"$5" 2>"$5.err"
+}
+
+# starts_of ID: how many starts the targets recorded for a submission. starts_twice: how many attempts at tasks started again.
+starts_of() { cat "$CLUSTER_FOLDER"/starts/*.txt 2>/dev/null | grep -c "^$1 " || true; }
+starts_twice() { cat "$CLUSTER_FOLDER"/starts/*.txt 2>/dev/null | awk '{ print $1, $2 }' | sort | uniq -d | wc -l; }
+
+# leader_number: the number of the control that leads.
+leader_number() { CTL_WORDS=1 ctl status | sed -n 's/^leader control-\([0-9]*\) .*/\1/p'; }
+has_leader() { [ -n "$(leader_number)" ]; }
+revision() { CTL_WORDS=1 ctl status | sed -n 's/^revision \([0-9]*\) .*/\1/p'; }
