JSON log is configured before the settings are checked

Cause: the schema validator logs while it checks the settings, which fixed tinylog's configuration before the log folder was known: a program with logFolder ended with an exception. Ruled out: silencing the validator only; its logger still starts tinylog.

--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/Logging.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/Logging.kt
@@ -26,18 +26,10 @@
 /**
  * Sends the log to [file] as JSON lines, or to the console as text if [file] is null.
  *
- * Call it before the first line is logged.
+ * Call it before any library logs its first line; later it fails. `tinylog.properties` holds the levels.
  */
 fun configureLogging(file: Path?) {
-    Configuration.set("level", "info")
-    Configuration.set("level@io.ktor", "warn")
-    Configuration.set("level@io.netty", "warn")
-    Configuration.set("autoshutdown", "true")
-    if (file == null) {
-        Configuration.set("writer", "console")
-        Configuration.set("writer.format", "{date:yyyy-MM-dd HH:mm:ss.SSS} {level} {message} {context: decision} {context: submission}")
-        return
-    }
+    if (file == null) return
     file
         .toAbsolutePath()
         .parent
--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/Program.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/Program.kt
@@ -38,7 +38,7 @@
  *
  * @param name name of the binary
  * @param reader reads the settings
- * @param logName tells the file name of the log from the settings and the folder, or null for the console
+ * @param logFile tells the log file from the settings, or null for the console
  * @param start starts the program and returns once it listens
  */
 fun <T> runServer(
@@ -58,6 +58,7 @@
     parser.option(ArgType.Boolean, fullName = "version", description = "Print the version and exit").default(false)
     parser.parse(args)
     val file = config ?: usageError("$name: --config FILE is required")
+    if (!check) configureLogging(reader.peek(Path.of(file))?.let(logFile))
     val settings =
         when (val result = reader.read(Path.of(file))) {
             is SettingsResult.Valid -> result.settings
@@ -67,7 +68,6 @@
         println("$file: no errors")
         exitProcess(ExitCode.OK)
     }
-    configureLogging(logFile(settings))
     serve(name) { start(settings) }
 }
 
--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/SettingsReader.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/SettingsReader.kt
@@ -1,6 +1,7 @@
 package io.bluebellramp.runtime
 
 import io.bluebellramp.core.StrictJson
+import io.bluebellramp.core.WireJson
 import io.bluebellramp.messages.Violation
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
@@ -41,6 +42,16 @@
             SettingsResult.Invalid(listOf(Violation(path = "$", message = "cannot read $file: ${e.message}")))
         }
 
+    /** Reads [file] without checks, or returns null if it does not decode. Use it for what is needed before the check, which logs. */
+    internal fun peek(file: Path): T? =
+        try {
+            WireJson.decodeFromString(serializer, Files.readString(file))
+        } catch (_: IOException) {
+            null
+        } catch (_: SerializationException) {
+            null
+        }
+
     /** Checks and decodes [text]. */
     fun parse(text: String): SettingsResult<T> {
         val violations = SchemaValidator.violations(text, type)
