Control: configuration, leases, claims and their routes

The configuration machine, the lease table and the claim table are state machines without I/O; desks confine each and the routes answer operators, entries and members.

--- /dev/null
+++ b/control/src/main/kotlin/io/bluebellramp/control/ClaimDesk.kt
@@ -0,0 +1,92 @@
+package io.bluebellramp.control
+
+import io.bluebellramp.core.Clock
+import io.bluebellramp.core.MemberId
+import io.bluebellramp.messages.ClaimMembers
+import io.bluebellramp.messages.ClaimRelease
+import io.bluebellramp.messages.ClaimRequest
+import io.bluebellramp.messages.ClaimResponse
+import io.bluebellramp.messages.MemberAddress
+import io.bluebellramp.replication.ReplicatedLog
+import kotlin.time.Duration
+import io.bluebellramp.messages.ClaimTable as ClaimCopy
+
+/** Judges claims in the committed membership of the log. Safe for concurrent use. */
+class ClaimDesk(
+    private val self: MemberId,
+    private val log: ReplicatedLog,
+    clock: Clock,
+    life: Duration,
+) {
+    private val table = ClaimTable(self, clock, life)
+    private var joined: ClaimMembers? = null
+
+    /** Returns the committed voting members, or null until this member knows them. */
+    fun members(): ClaimMembers? = onTable { joined }
+
+    /** Judges the claims of [request]. */
+    fun claim(request: ClaimRequest): ClaimResponse = onTable { it.claim(request) }
+
+    /** Gives up claims. */
+    fun release(release: ClaimRelease) = onTable { it.release(release) }
+
+    /** Returns a copy of the claims of [group], or of all if it is null. */
+    fun copy(
+        need: CopyNeed,
+        group: Long?,
+    ): ClaimCopy = onTable { it.copy(need, group) }
+
+    /** Number of claims held. */
+    fun size(): Int = onTable { it.size }
+
+    /** Tells whether every submission can be judged here. */
+    fun isWhole(): Boolean = onTable { it.isWhole() }
+
+    /**
+     * Copies the claims that this member may lack from each member that has them.
+     *
+     * @param fetch asks a member for a copy of one group, and returns null if no answer came
+     */
+    suspend fun copyMissing(fetch: suspend (MemberAddress, CopyNeed, Long) -> ClaimCopy?) {
+        val sources = onTable { table -> joined?.members.orEmpty().filter { it.member in table.missing() } }
+        for (source in sources) {
+            val (need, groups) = onTable { it.need to it.groups() }
+            val copies = fetchAll(source, need, groups, fetch) ?: continue
+            onTable { it.merge(source.member, copies) }
+        }
+    }
+
+    private suspend fun fetchAll(
+        source: MemberAddress,
+        need: CopyNeed,
+        groups: LongRange,
+        fetch: suspend (MemberAddress, CopyNeed, Long) -> ClaimCopy?,
+    ): List<ClaimCopy>? {
+        val copies = mutableListOf<ClaimCopy>()
+        for (group in groups) {
+            val copy = fetch(source, need, group) ?: return null
+            if (!copy.complete) return null
+            copies += copy
+        }
+        return copies
+    }
+
+    /** A membership that is not committed may be taken back, so it does not count. */
+    private fun join() {
+        val status = log.status()
+        val membership = status.membership
+        if (membership.index > status.commitIndex || membership.index <= (joined?.version ?: NO_VERSION)) return
+        joined = ClaimMembers(version = membership.index, members = membership.voters)
+        table.join(membership.index, membership.voters.map { it.member }.toSet())
+    }
+
+    private fun <T> onTable(action: (ClaimTable) -> T): T =
+        synchronized(table) {
+            join()
+            action(table)
+        }
+
+    private companion object {
+        const val NO_VERSION = -1L
+    }
+}
--- /dev/null
+++ b/control/src/main/kotlin/io/bluebellramp/control/ClaimTable.kt
@@ -0,0 +1,207 @@
+package io.bluebellramp.control
+
+import io.bluebellramp.core.Clock
+import io.bluebellramp.core.IncarnationId
+import io.bluebellramp.core.MemberId
+import io.bluebellramp.core.SubmissionId
+import io.bluebellramp.messages.Claim
+import io.bluebellramp.messages.ClaimHolder
+import io.bluebellramp.messages.ClaimRelease
+import io.bluebellramp.messages.ClaimRequest
+import io.bluebellramp.messages.ClaimResponse
+import io.bluebellramp.messages.ClaimVerdict
+import java.time.Instant
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.toJavaDuration
+import io.bluebellramp.messages.ClaimTable as ClaimCopy
+
+/**
+ * The claims that one member holds in memory. No I/O, one thread at a time.
+ *
+ * An entry owns a submission once a majority of the voting members granted its claim within [CLAIM_ROUND]. The table keeps
+ * any two majorities from having different owners, although a restarted member has forgotten what it granted and members are
+ * swapped: see `docs/design/claims.md`.
+ *
+ * @param self this member
+ * @param life longest life of a lease, in which an entry may still count in an older membership
+ */
+class ClaimTable(
+    private val self: MemberId,
+    private val clock: Clock,
+    private val life: Duration,
+) {
+    private val store = ClaimStore()
+    private val holders = HashMap<ClaimHolder, ClaimHolder>()
+    private val gap = ClaimGap(self, clock)
+    private var voters = emptySet<MemberId>()
+    private var version = NO_VERSION
+    private var forgottenBefore = Instant.MIN
+
+    /** Number of claims held. */
+    val size: Int get() = store.size
+
+    /** What a copy of another member's claims must be for [merge] to take it. */
+    val need: CopyNeed get() = gap.need
+
+    /** Voting members whose claims must still be copied. */
+    fun missing(): Set<MemberId> = gap.missing()
+
+    /** Tells whether the table knows all that it must know to judge every submission. */
+    fun isWhole(): Boolean = gap.isClosed()
+
+    /** Notes that [voters] count claims as of [version], the log index of the membership. */
+    fun join(
+        version: Long,
+        voters: Set<MemberId>,
+    ) {
+        if (version <= this.version) return
+        this.version = version
+        if (voters == this.voters) return
+        this.voters = voters
+        gap.open(voters, floor = now() + (FUTURE_SLACK + life + CLAIM_ROUND).toJavaDuration())
+    }
+
+    /** Judges the claims of [request]. The verdicts are empty if the membership versions differ. */
+    fun claim(request: ClaimRequest): ClaimResponse {
+        forgetExpired()
+        val verdicts =
+            if (request.membership == version &&
+                self in voters
+            ) {
+                request.claims.map { judge(it, request.holder) }
+            } else {
+                emptyList()
+            }
+        return ClaimResponse(membership = version, verdicts = verdicts)
+    }
+
+    /** Gives up the claims of [release] that its incarnation holds here. */
+    fun release(release: ClaimRelease) {
+        release.submissions.forEach { release(ClaimKey.of(it), release.incarnation) }
+    }
+
+    /** Returns a copy of the claims of [group] (see [groups]), or of all if it is null, complete if it is good enough for [need]. */
+    fun copy(
+        need: CopyNeed,
+        group: Long? = null,
+    ): ClaimCopy {
+        forgetExpired()
+        val claims = store.claims(group).flatMap { (key, claim) -> claim.all().map { it.held(key) } }
+        return ClaimCopy(membership = version, complete = gap.satisfies(need), claims = claims)
+    }
+
+    /** Returns every group in which a member may hold claims. */
+    fun groups(): LongRange {
+        val first = now() - (KEPT + CLOCK_MARGIN).toJavaDuration()
+        val last = now() + (FUTURE_SLACK + CLOCK_MARGIN).toJavaDuration()
+        return ClaimStore.groupOf(first)..ClaimStore.groupOf(last)
+    }
+
+    /**
+     * Takes over what [member] holds, given as the copies of all its groups.
+     *
+     * @return false if the copies do not count, because the member is itself incomplete or in an older membership
+     */
+    fun merge(
+        member: MemberId,
+        copies: List<ClaimCopy>,
+    ): Boolean {
+        if (member !in missing() || copies.any { !it.complete || it.membership < version }) return false
+        copies.forEach { copy ->
+            copy.claims.forEach { merge(ClaimKey.of(it.submission), StoredClaim(digestOf(it.digest), shared(it.holder))) }
+        }
+        gap.copied(member)
+        return true
+    }
+
+    private fun judge(
+        claim: Claim,
+        holder: ClaimHolder,
+    ): ClaimVerdict {
+        if (!isJudged(claim.submission)) return ClaimVerdict(granted = false)
+        val key = ClaimKey.of(claim.submission)
+        val digest = ClaimDigest.parse(claim.digest) ?: return ClaimVerdict(granted = false)
+        val held = store[key]
+        if (held == null) {
+            store[key] = StoredClaim(digest, shared(holder))
+            return granted(digest, holder)
+        }
+        if (held.rivals != null) return ClaimVerdict(granted = false)
+        if (held.digest == digest && held.holder.incarnation == holder.incarnation) return granted(digest, holder)
+        if (held.digest == digest && held.holder.incarnation == claim.takeover) {
+            store[key] = StoredClaim(digest, shared(holder))
+            return granted(digest, holder)
+        }
+        return ClaimVerdict(granted = false, holder = held.holder, digest = held.digest.hex())
+    }
+
+    private fun granted(
+        digest: ClaimDigest,
+        holder: ClaimHolder,
+    ) = ClaimVerdict(granted = true, holder = holder, digest = digest.hex())
+
+    /** An id that is expired, from the future, or older than what this member may have forgotten gets no verdict. */
+    private fun isJudged(id: SubmissionId): Boolean {
+        val made = id.instant
+        val now = now()
+        if (made < forgottenBefore || made + SUBMISSION_LIFE.toJavaDuration() <= now) return false
+        if (made > now + FUTURE_SLACK.toJavaDuration()) return false
+        return isWhole() || made > gap.floor()
+    }
+
+    private fun release(
+        key: ClaimKey,
+        incarnation: IncarnationId,
+    ) {
+        val held = store[key] ?: return
+        val left = held.all().filter { it.holder.incarnation != incarnation }
+        when (left.size) {
+            0 -> store.remove(key)
+            else -> store[key] = StoredClaim(left[0].digest, left[0].holder, left.drop(1).ifEmpty { null })
+        }
+    }
+
+    private fun merge(
+        key: ClaimKey,
+        claim: StoredClaim,
+    ) {
+        store[key] = store[key]?.merge(claim) ?: claim
+    }
+
+    private fun digestOf(hex: String): ClaimDigest = requireNotNull(ClaimDigest.parse(hex)) { "$hex is not a digest" }
+
+    /** Returns one object for equal holders, which keeps a claim small. */
+    private fun shared(holder: ClaimHolder): ClaimHolder {
+        if (holders.size > SHARED_HOLDERS) holders.clear()
+        return holders.getOrPut(holder) { holder }
+    }
+
+    private fun forgetExpired() {
+        val before = now() - KEPT.toJavaDuration()
+        if (before <= forgottenBefore) return
+        forgottenBefore = before
+        store.forgetBefore(before)
+    }
+
+    private fun now(): Instant = clock.wall()
+
+    companion object {
+        private const val NO_VERSION = -1L
+        private const val SHARED_HOLDERS = 10_000
+
+        /** Longest life of a submission, counted from the time inside its id. */
+        val SUBMISSION_LIFE = 10.minutes
+
+        /** How far the clocks of callers, entries and members may differ. */
+        val FUTURE_SLACK = 5.seconds
+
+        /** An entry counts grants only if all came within this time of its sending the request. */
+        val CLAIM_ROUND = 1000.milliseconds
+
+        private val CLOCK_MARGIN = 1.minutes
+        private val KEPT = SUBMISSION_LIFE + CLOCK_MARGIN
+    }
+}
--- /dev/null
+++ b/control/src/main/kotlin/io/bluebellramp/control/Control.kt
@@ -0,0 +1,54 @@
+package io.bluebellramp.control
+
+import io.bluebellramp.core.Clock
+import io.bluebellramp.messages.ControlSettings
+import io.bluebellramp.messages.MemberStatus
+import io.bluebellramp.messages.StatusView
+import io.bluebellramp.replication.LogStatus
+import io.bluebellramp.replication.ReplicatedLog
+import io.bluebellramp.replication.Role
+import io.bluebellramp.runtime.Health
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What one control process is made of. */
+class Control(
+    private val settings: ControlSettings,
+    val log: ReplicatedLog,
+    val machine: ConfigurationMachine,
+    clock: Clock,
+) : Health {
+    private val life = settings.permitLifeMillis.milliseconds
+
+    /** Judges claims. */
+    val claims = ClaimDesk(settings.member, log, clock, life)
+
+    /** Answers lease requests. */
+    val leases = LeaseDesk(log, machine, clock, life) { claims.members() }
+
+    /** Takes changes to the log. */
+    val changes = ChangeDesk(log, machine, leases, clock)
+
+    override fun isReady(): Boolean = log.status().leader != null
+
+    /** Returns what this process knows of the system. */
+    fun status(): StatusView {
+        val status = log.status()
+        return StatusView(
+            member = settings.member,
+            role = status.role.name.lowercase(),
+            term = status.term,
+            commitIndex = status.commitIndex,
+            revision = machine.configuration.value.revision,
+            members = status.memberStatuses(),
+            entries = leases.statuses(),
+            leader = status.leader,
+            revisionInForce = leases.revisionInForce(),
+        )
+    }
+
+    private fun LogStatus.memberStatuses(): List<MemberStatus> {
+        val matches = if (role == Role.LEADER) matchIndexes + (settings.member.value to lastIndex) else matchIndexes
+        return membership.voters.map { MemberStatus(it.member, it.address, voting = true, matchIndex = matches[it.member.value]) } +
+            membership.learners.map { MemberStatus(it.member, it.address, voting = false, matchIndex = matches[it.member.value]) }
+    }
+}
