--- a/control/src/main/kotlin/io/bluebellramp/control/ConfigurationMachine.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ConfigurationMachine.kt
@@ -49,7 +49,7 @@
         answerTo(request)?.let { return it }
         val view = current.value
         if (request.basedOn != view.revision) return null
-        val violations = ConfigurationRules.violations(request, view.with(request))
+        val violations = ConfigurationRules.violations(request, view, view.with(request))
         return if (violations.isEmpty()) null else view.refusal(request, violations)
     }
 
@@ -78,7 +78,7 @@
             if (request.basedOn != view.revision) {
                 view.conflict(request)
             } else {
-                val violations = ConfigurationRules.violations(request, next)
+                val violations = ConfigurationRules.violations(request, view, next)
                 if (violations.isEmpty()) accepted(request, next.revision) else view.refusal(request, violations)
             }
         remembered.add(RememberedChange(response, request.digest(), request.author))
--- a/control/src/main/kotlin/io/bluebellramp/control/ConfigurationRules.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ConfigurationRules.kt
@@ -13,11 +13,13 @@
 /** Checks a configuration as a whole: the base file, each site's merged result, and what zones a change names. */
 internal object ConfigurationRules {
     private const val TYPE = "Configuration"
+    private val plainName = Regex("^[A-Za-z_][A-Za-z0-9_]*$")
     private val id = Regex("^[a-z0-9][a-z0-9.-]{0,62}$")
 
-    /** Returns every violation of [next], the configuration that [request] asks for, with JSON paths into the request. */
+    /** Returns every violation of [next], which [request] makes of [old], with JSON paths into the request. */
     fun violations(
         request: ChangeRequest,
+        old: ConfigurationView,
         next: ConfigurationView,
     ): List<Violation> {
         val base = SchemaValidator.violations(next.base.toString(), TYPE)
@@ -26,7 +28,7 @@
         if (base.isNotEmpty()) return placed + merged
         val configuration = StrictJson.decodeFromJsonElement<Configuration>(next.base)
         return merged + configuration.idViolations() + next.overlayViolations(configuration) +
-            configuration.zoneViolations() + request.serviceViolations(next, configuration)
+            configuration.zoneViolations() + request.serviceViolations(old, next, configuration)
     }
 
     private fun mergedViolations(
@@ -36,7 +38,7 @@
         known: List<Violation>,
     ): List<Violation> {
         val found = SchemaValidator.violations(base.mergePatch(overlay).toString(), TYPE)
-        return found.filter { it !in known }.map { it.under("$.overlays.$site") }
+        return found.filter { it !in known }.map { it.under("$.overlays${step(site)}") }
     }
 
     private fun Configuration.idViolations(): List<Violation> =
@@ -46,26 +48,32 @@
         name: String,
         ids: Set<String>,
     ): List<Violation> =
-        ids.filterNot { id.matches(it) }.map { Violation(path = "$.base.$name.$it", message = "is not an id: it must match ${id.pattern}") }
+        ids
+            .filterNot {
+                id.matches(
+                    it,
+                )
+            }.map { Violation(path = "$.base.$name${step(it)}", message = "is not an id: it must match ${id.pattern}") }
 
     private fun ConfigurationView.overlayViolations(configuration: Configuration): List<Violation> {
         val unknown = overlays.keys.filter { it !in configuration.sites }
         val moved = overlays.filterValues { "sites" in it }.keys
-        return unknown.map { Violation(path = "$.overlays.$it", message = "the base file has no site $it") } +
-            moved.map { Violation(path = "$.overlays.$it.sites", message = "an overlay cannot change sites") }
+        return unknown.map { Violation(path = "$.overlays${step(it)}", message = "the base file has no site $it") } +
+            moved.map { Violation(path = "$.overlays${step(it)}.sites", message = "an overlay cannot change sites") }
     }
 
     private fun Configuration.zoneViolations(): List<Violation> {
         val seen = mutableSetOf<ZoneId>()
         return sites.flatMap { (name, site) ->
             site.zones.mapIndexedNotNull { index, zone ->
-                val path = "$.base.sites.$name.zones[$index]"
+                val path = "$.base.sites${step(name)}.zones[$index]"
                 if (seen.add(zone)) null else Violation(path = path, message = "zone $zone is listed twice")
             }
         }
     }
 
     private fun ChangeRequest.serviceViolations(
+        old: ConfigurationView,
         next: ConfigurationView,
         configuration: Configuration,
     ): List<Violation> {
@@ -78,7 +86,7 @@
             "zonesOut",
             zonesOut,
             known,
-        ) + unknownZones("zonesIn", zonesIn.filter { it !in next.zonesOut }, known, zonesIn) +
+        ) + unknownZones("zonesIn", zonesIn, known + old.zonesOut) +
             both("zonesIn", zonesOut, zonesIn) + both("targetsIn", targetsOut, targetsIn) +
             removed.map {
                 Violation(
@@ -92,9 +100,10 @@
         name: String,
         zones: List<ZoneId>,
         known: Set<ZoneId>,
-        all: List<ZoneId> = zones,
     ): List<Violation> =
-        zones.filter { it !in known }.map { Violation(path = "$.$name[${all.indexOf(it)}]", message = "no site has a zone $it") }
+        zones.mapIndexedNotNull { index, zone ->
+            if (zone in known) null else Violation(path = "$.$name[$index]", message = "no site has a zone $zone")
+        }
 
     private fun <T> both(
         name: String,
@@ -105,5 +114,8 @@
             if (it in out) Violation(path = "$.$name[$index]", message = "$it is also taken out by this change") else null
         }
 
+    /** Returns the step of a JSON path to the member [name]. */
+    private fun step(name: String) = if (plainName.matches(name)) ".$name" else "['$name']"
+
     private fun Violation.under(prefix: String) = copy(path = prefix + path.removePrefix("$"))
 }
--- a/control/src/main/kotlin/io/bluebellramp/control/ControlProgram.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ControlProgram.kt
@@ -12,8 +12,8 @@
 import io.ktor.client.call.body
 import io.ktor.client.request.get
 import io.ktor.http.isSuccess
-import io.ktor.serialization.ContentConvertException
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -21,7 +21,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
-import java.io.IOException
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import io.bluebellramp.messages.ClaimTable as ClaimCopy
@@ -89,9 +88,10 @@
         try {
             val response = client.get("http://${from.address}/claims/table?need=${need.name.lowercase()}&group=$group")
             if (response.status.isSuccess()) response.body<ClaimCopy>() else null
-        } catch (_: IOException) {
-            null
-        } catch (_: ContentConvertException) {
+        } catch (e: CancellationException) {
+            throw e
+        } catch (_: Exception) {
+            // Whatever went wrong, no copy came; it is asked for again.
             null
         }
 
--- a/control/src/main/kotlin/io/bluebellramp/control/HttpLogTransport.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/HttpLogTransport.kt
@@ -15,8 +15,7 @@
 import io.ktor.http.ContentType
 import io.ktor.http.contentType
 import io.ktor.http.isSuccess
-import io.ktor.serialization.ContentConvertException
-import java.io.IOException
+import kotlinx.coroutines.CancellationException
 
 /** Sends the messages of the log over HTTP. [client] must bound each request by a timeout. */
 class HttpLogTransport(
@@ -50,8 +49,9 @@
                 setBody(request)
             }
         if (response.status.isSuccess()) response.body<A>() else null
-    } catch (_: IOException) {
-        null
-    } catch (_: ContentConvertException) {
+    } catch (e: CancellationException) {
+        throw e
+    } catch (_: Exception) {
+        // Whatever went wrong, no answer came; the log must learn of it to go on.
         null
     }
--- /dev/null
+++ b/control/src/test/kotlin/io/bluebellramp/control/MergePatchTest.kt
@@ -0,0 +1,29 @@
+package io.bluebellramp.control
+
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import kotlin.test.assertEquals
+
+class MergePatchTest {
+    @ParameterizedTest(name = "{0} patched by {1} is {2}")
+    @CsvSource(
+        delimiter = '|',
+        value = [
+            """{"a":"b"}               | {"a":"c"}                | {"a":"c"}""",
+            """{"a":"b"}               | {"b":"c"}                | {"a":"b","b":"c"}""",
+            """{"a":"b"}               | {"a":null}               | {}""",
+            """{"a":"b","b":"c"}       | {"a":null}               | {"b":"c"}""",
+            """{"a":["b"]}             | {"a":"c"}                | {"a":"c"}""",
+            """{"a":"c"}               | {"a":["b"]}              | {"a":["b"]}""",
+            """{"a":{"b":"c"}}         | {"a":{"b":"d","c":null}} | {"a":{"b":"d"}}""",
+            """{"a":[{"b":"c"}]}       | {"a":[1]}                | {"a":[1]}""",
+            """{"e":null}              | {"a":1}                  | {"e":null,"a":1}""",
+            """{}                      | {"a":{"bb":{"ccc":null}}} | {"a":{"bb":{}}}""",
+        ],
+    )
+    fun `An overlay is merged as RFC 7396 says`(
+        base: String,
+        patch: String,
+        expected: String,
+    ) = assertEquals(json(expected), json(base).mergePatch(json(patch)))
+}
