--- a/control/src/main/kotlin/io/bluebellramp/control/OperatorRoutes.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/OperatorRoutes.kt
@@ -1,9 +1,7 @@
 package io.bluebellramp.control
 
 import io.bluebellramp.core.ChangeId
-import io.bluebellramp.messages.ChangeOutcome
 import io.bluebellramp.messages.ChangeRequest
-import io.bluebellramp.messages.ChangeResponse
 import io.bluebellramp.messages.ErrorCode
 import io.bluebellramp.messages.MembershipRequest
 import io.bluebellramp.replication.ProposalResult
@@ -74,7 +72,7 @@
     forwarder: LeaderForwarder,
     body: ByteArray,
 ) = when (result) {
-    is ChangeResult.Decided -> respond(result.response.status(), result.response)
+    is ChangeResult.Decided -> respond(result.response)
     ChangeResult.NotLeader -> forwarder.forward(this, body)
     ChangeResult.Unknown -> respondUnknown()
 }
@@ -114,10 +112,3 @@
 }
 
 private fun ApplicationCall.flag(name: String) = request.queryParameters[name] == "true"
-
-private fun ChangeResponse.status(): HttpStatusCode =
-    when (outcome) {
-        ChangeOutcome.ACCEPTED -> HttpStatusCode.OK
-        ChangeOutcome.CONFLICT -> HttpStatusCode.Conflict
-        ChangeOutcome.INVALID -> HttpStatusCode.UnprocessableEntity
-    }
--- /dev/null
+++ b/control/src/test/kotlin/io/bluebellramp/control/ClaimTableTest.kt
@@ -0,0 +1,185 @@
+package io.bluebellramp.control
+
+import io.bluebellramp.core.Address
+import io.bluebellramp.core.EntryId
+import io.bluebellramp.core.IncarnationId
+import io.bluebellramp.core.MemberId
+import io.bluebellramp.core.SubmissionId
+import io.bluebellramp.messages.Claim
+import io.bluebellramp.messages.ClaimHolder
+import io.bluebellramp.messages.ClaimRelease
+import io.bluebellramp.messages.ClaimRequest
+import io.bluebellramp.messages.ClaimVerdict
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.toJavaDuration
+
+internal val LIFE = 2.seconds
+
+internal fun holder(name: String) = ClaimHolder(EntryId(name), IncarnationId("$name-1"), Address("127.0.0.1:7000"))
+
+internal fun members(vararg names: String) = names.map(::MemberId).toSet()
+
+internal fun digest(of: Char) = "$of".repeat(64)
+
+class ClaimTableTest {
+    private val clock = ManualClock()
+    private val table = table("m1")
+
+    private fun table(name: String) = ClaimTable(MemberId(name), clock, LIFE).apply { join(1, members("m1", "m2", "m3")) }
+
+    private fun submission(age: Duration = Duration.ZERO) = SubmissionId.create(clock.wall() - age.toJavaDuration())
+
+    private fun ClaimTable.ask(
+        id: SubmissionId,
+        by: String,
+        digest: Char = 'a',
+        takeover: String? = null,
+        version: Long = 1,
+    ): ClaimVerdict? =
+        claim(
+            ClaimRequest(
+                version,
+                holder(by),
+                listOf(
+                    Claim(
+                        id,
+                        digest(digest),
+                        takeover?.let {
+                            holder(it).incarnation
+                        },
+                    ),
+                ),
+            ),
+        ).verdicts.singleOrNull()
+
+    private fun ClaimTable.copyFrom(
+        name: String,
+        other: ClaimTable,
+    ) = merge(MemberId(name), groups().map { other.copy(need, it) })
+
+    private fun waitUntilFresh() {
+        clock.elapsed += ClaimTable.FUTURE_SLACK + 1.seconds
+    }
+
+    @Nested
+    inner class `A claim` {
+        init {
+            waitUntilFresh()
+        }
+
+        @Test
+        fun `is held by the first claimant, who may ask again`() {
+            val id = submission()
+            assertEquals(true, table.ask(id, "a")?.granted)
+            assertEquals(true, table.ask(id, "a")?.granted)
+            val second = table.ask(id, "b")
+            assertEquals(ClaimVerdict(granted = false, holder = holder("a"), digest = digest('a')), second)
+        }
+
+        @Test
+        fun `with another body is refused to the holder too`() {
+            val id = submission()
+            table.ask(id, "a")
+            assertEquals(ClaimVerdict(granted = false, holder = holder("a"), digest = digest('a')), table.ask(id, "a", digest = 'b'))
+        }
+
+        @Test
+        fun `is taken over from the named incarnation only`() {
+            val id = submission()
+            table.ask(id, "a")
+            assertEquals(false, table.ask(id, "c", takeover = "b")?.granted)
+            assertEquals(true, table.ask(id, "b", takeover = "a")?.granted)
+            assertEquals(holder("b"), table.ask(id, "a")?.holder)
+        }
+
+        @Test
+        fun `is released by its holder only`() {
+            val id = submission()
+            table.ask(id, "a")
+            table.release(ClaimRelease(holder("b").incarnation, listOf(id)))
+            assertEquals(false, table.ask(id, "b")?.granted)
+            table.release(ClaimRelease(holder("a").incarnation, listOf(id)))
+            assertEquals(true, table.ask(id, "b")?.granted)
+        }
+
+        @Test
+        fun `counted in another membership gets no verdict`() {
+            assertNull(table.ask(submission(), "a", version = 2))
+        }
+
+        @Test
+        fun `on an id that is expired or from the future gets no holder`() {
+            waitUntilFresh()
+            clock.elapsed += 11.minutes
+            assertEquals(ClaimVerdict(granted = false), table.ask(submission(age = 10.minutes), "a"))
+            assertEquals(ClaimVerdict(granted = false), table.ask(submission(age = (-6).seconds), "a"))
+            assertEquals(true, table.ask(submission(age = 9.minutes), "a")?.granted)
+        }
+
+        @Test
+        fun `is forgotten after its life and never granted again`() {
+            val id = submission()
+            table.ask(id, "a")
+            clock.elapsed += 12.minutes
+            assertEquals(ClaimVerdict(granted = false), table.ask(id, "b"))
+            assertEquals(0, table.size)
+        }
+    }
+
+    @Nested
+    inner class `A member that restarted` {
+        @Test
+        fun `judges only ids made after its start, until it copied the claims of the others`() {
+            val old = submission()
+            val others = listOf("m2", "m3").associateWith { table(it) }
+            waitUntilFresh()
+            assertEquals(ClaimVerdict(granted = false), table.ask(old, "a"))
+            assertEquals(true, table.ask(submission(), "a")?.granted)
+            others.forEach { (name, other) -> assertFalse(table.copyFrom(name, other)) }
+            clock.elapsed += 10.minutes
+            assertTrue(others.values.all { it.isWhole() })
+            assertTrue(table.isWhole())
+        }
+
+        @Test
+        fun `knows the claims again once it copied every other member`() {
+            clock.elapsed += 12.minutes
+            val (second, third) = listOf(table("m2"), table("m3"))
+            listOf(second, third).forEach { it.isWhole() }
+            clock.elapsed += 12.minutes
+            val id = submission()
+            second.ask(id, "a")
+            val restarted = table("m1")
+            assertFalse(restarted.copyFrom("m2", second), "a round may still be counted")
+            clock.elapsed += 1.seconds
+            assertTrue(restarted.copyFrom("m2", second))
+            assertFalse(restarted.isWhole())
+            assertTrue(restarted.copyFrom("m3", third))
+            assertEquals(holder("a"), restarted.ask(id, "b")?.holder)
+        }
+
+        @Test
+        fun `grants nobody a submission that the others hold differently, until one gives up`() {
+            val (second, third) = listOf(table("m2"), table("m3"))
+            clock.elapsed += 12.minutes
+            val id = submission()
+            second.ask(id, "a")
+            third.ask(id, "b")
+            val restarted = table("m1")
+            clock.elapsed += 1.seconds
+            restarted.copyFrom("m2", second)
+            restarted.copyFrom("m3", third)
+            assertEquals(ClaimVerdict(granted = false), restarted.ask(id, "a"))
+            restarted.release(ClaimRelease(holder("b").incarnation, listOf(id)))
+            assertEquals(true, restarted.ask(id, "a")?.granted)
+        }
+    }
+}
