Entry: callers' API, claims, lease, links to agents, dispatch

Cause: a submission has to get from a caller to a target and back as one whole answer. Change: EntryCore, a state machine without I/O (submissions, attempts, credits, permits passed on, answers kept), and a thin shell around it: lease client, batched claims with a tally by majority, one WebSocket an agent with one sender that merges all that waits into a frame, callers' API, peers' API, metrics, decision log, graceful stop. A refusal by the owner (queue, quota, deadline, leaving) is given after the claim, as the final answer of the id, because an entry that does not hold the claim can't know that a copy of the call did not run elsewhere. Without a claim the body is an error that says that the same id may be sent again. Ruled out: `not_run` from an entry without the claim. A balancer that sends a call twice would make it false.

--- /dev/null
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/CallerApi.kt
@@ -0,0 +1,150 @@
+package io.bluebellramp.entry
+
+import io.bluebellramp.core.SubmissionId
+import io.bluebellramp.core.WireJson
+import io.bluebellramp.messages.Answer
+import io.bluebellramp.messages.AnswerOutcome
+import io.bluebellramp.messages.ErrorBody
+import io.bluebellramp.messages.ErrorCode
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * The callers' API.
+ *
+ * A body with `outcome` is an [Answer] of the owner and final for its id. A caller may resubmit under a new id only after `not_run`. Any other
+ * body is an [ErrorBody]: this entry started nothing of the call, and nobody runs a body that was refused with 4xx. After 503 with an
+ * [ErrorBody] another entry may own the id, for example if a balancer sent the call twice, so send the same id again.
+ *
+ * | status | body | when |
+ * | --- | --- | --- |
+ * | 200 | `Answer` | `complete`, `failed`, or `not_run` after a cancel or a deadline |
+ * | 202 | [PendingBody] | `wait` ran out |
+ * | 400 | `ErrorBody` | the body is cut short, is not JSON or violates the schema; the id has a wrong form or a time in the future |
+ * | 404 | `ErrorBody` | unknown service, or an id that this entry does not know |
+ * | 409 | `ErrorBody` | the id belongs to another body |
+ * | 410 | `ErrorBody` | the id is too old |
+ * | 413 | `ErrorBody` | the body is too large |
+ * | 422 | `ErrorBody` | no executor can ever run it |
+ * | 429 | `Answer`, `not_run` | the quota of the team is used up |
+ * | 503 | `Answer`, `not_run` | the queue is full, the deadline can't be met or the entry is leaving |
+ * | 503 | `ErrorBody` | no lease, no majority for the claim, or the owner does not answer |
+ */
+internal class CallerApi(
+    private val shell: EntryShell,
+    private val reader: SubmissionReader,
+    private val metrics: CallMetrics,
+    private val bodyBytes: Long,
+) {
+    /** Adds the routes. */
+    fun Route.calls() {
+        post("/v1/jobs") { call.submit(reader::job) }
+        post("/v1/requests") { call.submit(reader::request) }
+        get("/v1/jobs/{id}") { call.find() }
+        post("/v1/jobs/{id}/cancel") { call.cancel() }
+    }
+
+    private suspend fun ApplicationCall.submit(read: (String) -> ReadResult) {
+        when (val body = readBody(bodyBytes)) {
+            is BodyResult.Whole -> {
+                when (val result = read(body.text)) {
+                    is ReadResult.Valid -> accept(result.submission)
+                    is ReadResult.Invalid -> refuse(result.error)
+                }
+            }
+
+            BodyResult.TooLarge -> {
+                refuse(ErrorBody(ErrorCode.BODY_TOO_LARGE, "The body must be at most $bodyBytes bytes."))
+            }
+
+            BodyResult.Cut -> {
+                refuse(ErrorBody(ErrorCode.INVALID_BODY, "The body is cut short."))
+            }
+        }
+    }
+
+    private suspend fun ApplicationCall.accept(submission: NewSubmission) {
+        val refusal = shell.use { now -> limits(submission, now) }
+        if (refusal != null) return refuse(refusal)
+        val started = metrics.start()
+        val reply = await(submission.id, shell.submit(submission)) ?: return
+        metrics.finish(started, submission.kind, reply)
+    }
+
+    private suspend fun ApplicationCall.find() {
+        val id = id() ?: return refuse(ErrorBody(ErrorCode.INVALID_SUBMISSION, "The id is no UUID version 7 in lower case."))
+        val reply = shell.find(id) ?: return refuse(ErrorBody(ErrorCode.NOT_FOUND, "This entry does not know $id."))
+        await(id, reply)
+    }
+
+    private suspend fun ApplicationCall.cancel() {
+        val id = id() ?: return refuse(ErrorBody(ErrorCode.INVALID_SUBMISSION, "The id is no UUID version 7 in lower case."))
+        val reply = shell.find(id) ?: return refuse(ErrorBody(ErrorCode.NOT_FOUND, "This entry does not know $id."))
+        shell.use { now -> cancel(id, now) }
+        await(id, reply)
+    }
+
+    private suspend fun ApplicationCall.await(
+        id: SubmissionId,
+        reply: Deferred<Reply>,
+    ): Reply? {
+        val wait = waitMillis()
+        val whole = if (wait == null) reply.await() else withTimeoutOrNull(wait.milliseconds) { reply.await() }
+        if (whole == null) {
+            respondJson(HttpStatusCode.Accepted, WireJson.encodeToString(PendingBody.serializer(), PendingBody(id)))
+        } else {
+            answer(whole)
+        }
+        return whole
+    }
+
+    private suspend fun ApplicationCall.answer(reply: Reply) =
+        when (reply) {
+            is Reply.Whole -> respondJson(reply.answer.httpStatus(), WireJson.encodeToString(Answer.serializer(), reply.answer))
+            is Reply.Refused -> refuse(reply.error)
+        }
+
+    private suspend fun ApplicationCall.refuse(error: ErrorBody) {
+        metrics.refused(error.code)
+        respondJson(error.code.httpStatus(), WireJson.encodeToString(ErrorBody.serializer(), error))
+    }
+
+    private fun ApplicationCall.id() = SubmissionId.parse(parameters["id"].orEmpty())
+}
+
+/** The value of `wait` (ms), or null if the call waits for the answer. */
+internal fun ApplicationCall.waitMillis(): Long? = request.queryParameters["wait"]?.toLongOrNull()?.coerceAtLeast(0)
+
+internal suspend fun ApplicationCall.respondJson(
+    status: HttpStatusCode,
+    text: String,
+) = respondText(text, ContentType.Application.Json, status)
+
+private fun Answer.httpStatus() = if (outcome == AnswerOutcome.NOT_RUN) error?.code.notRunStatus() else HttpStatusCode.OK
+
+private fun ErrorCode?.notRunStatus() =
+    when (this) {
+        ErrorCode.QUOTA_EXCEEDED -> HttpStatusCode.TooManyRequests
+        ErrorCode.QUEUE_FULL, ErrorCode.DEADLINE_UNREACHABLE, ErrorCode.LEAVING -> HttpStatusCode.ServiceUnavailable
+        else -> HttpStatusCode.OK
+    }
+
+internal fun ErrorCode.httpStatus() =
+    when (this) {
+        ErrorCode.INVALID_BODY, ErrorCode.INVALID_SUBMISSION -> HttpStatusCode.BadRequest
+        ErrorCode.NOT_FOUND, ErrorCode.UNKNOWN_SERVICE -> HttpStatusCode.NotFound
+        ErrorCode.SUBMISSION_CONFLICT -> HttpStatusCode.Conflict
+        ErrorCode.EXPIRED_SUBMISSION -> HttpStatusCode.Gone
+        ErrorCode.BODY_TOO_LARGE -> HttpStatusCode.PayloadTooLarge
+        ErrorCode.NEVER_RUNNABLE -> HttpStatusCode.UnprocessableEntity
+        ErrorCode.INTERNAL -> HttpStatusCode.InternalServerError
+        else -> HttpStatusCode.ServiceUnavailable
+    }
--- /dev/null
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/DecisionLog.kt
@@ -0,0 +1,56 @@
+package io.bluebellramp.entry
+
+import io.bluebellramp.core.EntryId
+import io.bluebellramp.placement.CreditedTarget
+import io.bluebellramp.runtime.Decision
+import io.bluebellramp.runtime.logDecision
+import kotlinx.coroutines.channels.Channel
+
+/** Writes one log line for each decision, outside of the core's coroutine. */
+internal class DecisionLog(
+    private val entry: EntryId,
+) {
+    private val decisions = Channel<Action>(Channel.UNLIMITED)
+
+    /** Adds a decision. */
+    fun add(decision: Action) {
+        decisions.trySend(decision)
+    }
+
+    /** Writes decisions until it is cancelled. */
+    suspend fun run() {
+        for (decision in decisions) write(decision)
+    }
+
+    /** Writes what [decision] carries. */
+    fun write(decision: Action) {
+        when (decision) {
+            is Action.LogPlacement -> logDecision(decision.line())
+            is Action.LogRouting -> logDecision(decision.line())
+            else -> Unit
+        }
+    }
+
+    private fun Action.LogPlacement.line() =
+        Decision(
+            kind = "place",
+            reason = "credit",
+            fields =
+                mapOf(
+                    "submission" to submission,
+                    "task" to task,
+                    "attempt" to attempt,
+                    "service" to service,
+                    "target" to target,
+                    "zone" to zone,
+                    "entry" to entry,
+                    "candidates" to candidates.joinToString(" ") { it.figures() },
+                ),
+        )
+
+    private fun Action.LogRouting.line() =
+        Decision(kind = kind, reason = reason, fields = mapOf("submission" to submission, "entry" to entry))
+
+    /** Target, unspent credits and running tasks. */
+    private fun CreditedTarget.figures() = "$target:$credits/$running"
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/EntryIdentity.kt
@@ -0,0 +1,20 @@
+package io.bluebellramp.entry
+
+import io.bluebellramp.core.Address
+import io.bluebellramp.core.EntryId
+import io.bluebellramp.core.IncarnationId
+import io.bluebellramp.core.SiteId
+import io.bluebellramp.core.ZoneId
+import io.bluebellramp.messages.ClaimHolder
+
+/** Who this entry is. */
+internal data class EntryIdentity(
+    val entry: EntryId,
+    val incarnation: IncarnationId,
+    val address: Address,
+    val site: SiteId,
+    val zone: ZoneId,
+) {
+    /** This entry as the holder of a claim. */
+    val holder get() = ClaimHolder(entry = entry, incarnation = incarnation, address = address)
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/EntryMetrics.kt
@@ -0,0 +1,101 @@
+package io.bluebellramp.entry
+
+import io.bluebellramp.core.Clock
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/** Publishes what the core counted. [publish] runs in the core's coroutine. */
+internal class EntryMetrics(
+    private val core: EntryCore,
+    private val clock: Clock,
+    private val registry: PrometheusRegistry,
+) : Traffic {
+    @Volatile
+    private var liveUntil: Duration = Duration.ZERO
+    private val published = HashMap<String, Long>()
+    private val dispatched = counter("bluebellramp_entry_dispatched_total", "Attempts dispatched to agents")
+    private val wasted = counter("bluebellramp_entry_wasted_messages_total", "Messages that served no purpose", "kind")
+    private val outcomes = counter("bluebellramp_entry_outcomes_total", "Outcomes of attempts", "status")
+    private val answers = counter("bluebellramp_entry_answers_total", "Final answers", "outcome")
+    private val refusals = counter("bluebellramp_entry_refusals_total", "Submissions refused", "code")
+    private val claims = counter("bluebellramp_entry_claims_total", "Claims by verdict", "verdict")
+    private val frames = counter("bluebellramp_entry_frames_total", "Frames to and from agents", "direction")
+    private val characters = counter("bluebellramp_entry_frame_characters_total", "Characters in frames", "direction")
+    private val queued = gauge("bluebellramp_entry_queued_tasks", "Tasks and requests that wait")
+    private val open = gauge("bluebellramp_entry_open_submissions", "Submissions without an answer")
+    private val linked = gauge("bluebellramp_entry_linked_agents", "Agents that are connected")
+    private val revision = gauge("bluebellramp_entry_revision", "Revision of the lease")
+    private val leaseLeft = gauge("bluebellramp_entry_lease_remaining_seconds", "Time until the lease runs out")
+
+    /** True while the lease lasts, as of the last [publish]. */
+    fun isLeaseLive() = clock.monotonic() < liveUntil
+
+    /** Copies the figures of the core. */
+    fun publish(now: Duration) {
+        val left = core.lease.remaining(now)
+        liveUntil = if (core.lease.isLive(now)) now + left else Duration.ZERO
+        leaseLeft.set(maxOf(0.0, left.toDouble(DurationUnit.SECONDS)))
+        revision.set(
+            core.lease.revision.value
+                .toDouble(),
+        )
+        queued.set(core.waiting.toDouble())
+        open.set(core.openSubmissions.toDouble())
+        linked.set(core.connectedAgents.toDouble())
+        val counters = core.counters
+        add(dispatched, "dispatched", null, counters.dispatched)
+        counters.wasted.forEach { (kind, count) -> add(wasted, "wasted", kind.name, count) }
+        counters.outcomes.forEach { (status, count) -> add(outcomes, "outcome", status.name, count) }
+        counters.answers.forEach { (outcome, count) -> add(answers, "answer", outcome.name, count) }
+        counters.refusals.forEach { (code, count) -> add(refusals, "refusal", code.name, count) }
+        counters.claims.forEach { (verdict, count) -> add(claims, "claim", verdict.name, count) }
+    }
+
+    override fun received(length: Int) = count("in", length)
+
+    override fun sent(length: Int) = count("out", length)
+
+    private fun count(
+        direction: String,
+        length: Int,
+    ) {
+        frames.labelValues(direction).inc()
+        characters.labelValues(direction).inc(length.toLong())
+    }
+
+    private fun add(
+        counter: Counter,
+        family: String,
+        label: String?,
+        total: Long,
+    ) {
+        val before = published.put("$family $label", total) ?: 0L
+        if (total == before) return
+        if (label == null) counter.inc(total - before) else counter.labelValues(label.lowercase()).inc(total - before)
+    }
+
+    private fun counter(
+        name: String,
+        help: String,
+        vararg labels: String,
+    ): Counter =
+        Counter
+            .builder()
+            .name(name)
+            .help(help)
+            .labelNames(*labels)
+            .register(registry)
+
+    private fun gauge(
+        name: String,
+        help: String,
+    ): Gauge =
+        Gauge
+            .builder()
+            .name(name)
+            .help(help)
+            .register(registry)
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/Lookup.kt
@@ -0,0 +1,19 @@
+package io.bluebellramp.entry
+
+import io.bluebellramp.messages.Answer
+
+/** What an entry knows of a submission id. */
+internal sealed interface Lookup {
+    /** It has its final answer. */
+    data class Answered(
+        val answer: Answer,
+    ) : Lookup
+
+    /** It has no answer yet. When [isFollowing], another entry owns it. */
+    data class Pending(
+        val isFollowing: Boolean,
+    ) : Lookup
+
+    /** This entry has not seen it. */
+    data object Unknown : Lookup
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/PeerApi.kt
@@ -0,0 +1,48 @@
+package io.bluebellramp.entry
+
+import io.bluebellramp.core.SubmissionId
+import io.bluebellramp.core.WireJson
+import io.bluebellramp.messages.Answer
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.response.respond
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * What other entries ask about submissions that this entry owns.
+ *
+ * 200 carries the answer, 202 means not yet, 404 means that this incarnation does not own the id, 410 means that the incarnation is gone.
+ */
+internal class PeerApi(
+    private val shell: EntryShell,
+    private val identity: EntryIdentity,
+) {
+    /** Adds the routes. */
+    fun Route.peers() {
+        get("/peers/submissions/{id}") { call.find() }
+        post("/peers/submissions/{id}/cancel") { call.cancel() }
+    }
+
+    private suspend fun ApplicationCall.find() {
+        if (request.queryParameters["incarnation"] != identity.incarnation.value) return respond(HttpStatusCode.Gone)
+        val id = SubmissionId.parse(parameters["id"].orEmpty()) ?: return respond(HttpStatusCode.NotFound)
+        val found = shell.use { lookup(id).also { if (it == Lookup.Unknown) releaseUnknown(id) } }
+        if (found == Lookup.Unknown || found == Lookup.Pending(isFollowing = true)) return respond(HttpStatusCode.NotFound)
+        val reply = shell.find(id) ?: return respond(HttpStatusCode.NotFound)
+        when (val whole = withTimeoutOrNull((waitMillis() ?: 0).milliseconds) { reply.await() }) {
+            null -> respond(HttpStatusCode.Accepted)
+            is Reply.Whole -> respondJson(HttpStatusCode.OK, WireJson.encodeToString(Answer.serializer(), whole.answer))
+            is Reply.Refused -> respond(HttpStatusCode.NotFound)
+        }
+    }
+
+    private suspend fun ApplicationCall.cancel() {
+        val id = SubmissionId.parse(parameters["id"].orEmpty()) ?: return respond(HttpStatusCode.NotFound)
+        val known = shell.use { now -> cancel(id, now) }
+        respond(if (known) HttpStatusCode.OK else HttpStatusCode.NotFound)
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/PeerClient.kt
@@ -0,0 +1,64 @@
+package io.bluebellramp.entry
+
+import io.bluebellramp.messages.Answer
+import io.bluebellramp.messages.ClaimHolder
+import io.ktor.client.HttpClient
+import io.ktor.client.call.body
+import io.ktor.client.request.get
+import io.ktor.client.request.post
+import io.ktor.http.HttpStatusCode
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Asks other entries for the answers to submissions that they own. */
+internal class PeerClient(
+    private val http: HttpClient,
+    private val shell: EntryShell,
+    private val scope: CoroutineScope,
+) {
+    /** Asks the owner once; the result goes to the core. */
+    fun follow(follow: Action.Follow) {
+        scope.launch {
+            val result = ask(follow)
+            if (result !is FollowResult.Answered) delay(RETRY)
+            shell.use { now -> followed(follow.submission, result, now) }
+        }
+    }
+
+    private suspend fun ask(follow: Action.Follow): FollowResult =
+        attempt {
+            val response =
+                http.get(follow.owner.path(follow.submission.value) + "?incarnation=${follow.owner.incarnation}&wait=$WAIT_MILLIS")
+            when (response.status) {
+                HttpStatusCode.OK -> FollowResult.Answered(response.body<Answer>())
+                HttpStatusCode.NotFound -> FollowResult.NotOwner
+                else -> FollowResult.NoAnswer
+            }
+        } ?: FollowResult.NoAnswer
+
+    /** Passes a cancel on to the owner. */
+    fun cancel(cancel: Action.CancelAtOwner) {
+        scope.launch { attempt { http.post(cancel.owner.path(cancel.submission.value) + "/cancel") } }
+    }
+
+    private fun ClaimHolder.path(submission: String) = "http://$address/peers/submissions/$submission"
+
+    private suspend fun <T> attempt(call: suspend () -> T): T? =
+        try {
+            withTimeoutOrNull(CALL_TIMEOUT) { call() }
+        } catch (e: CancellationException) {
+            throw e
+        } catch (_: Exception) {
+            null
+        }
+
+    private companion object {
+        const val WAIT_MILLIS = 1_000L
+        val CALL_TIMEOUT = 1_500.milliseconds
+        val RETRY = 50.milliseconds
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/RequestBody.kt
@@ -0,0 +1,48 @@
+package io.bluebellramp.entry
+
+import io.ktor.http.HttpHeaders
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.receiveChannel
+import io.ktor.utils.io.readRemaining
+import kotlinx.io.readByteArray
+import java.io.IOException
+import java.nio.ByteBuffer
+import java.nio.charset.CharacterCodingException
+
+/** What came of reading the bytes of a body. */
+internal sealed interface BodyResult {
+    /** All bytes came. */
+    data class Whole(
+        val text: String,
+    ) : BodyResult
+
+    /** There are more bytes than allowed. */
+    data object TooLarge : BodyResult
+
+    /** The connection ended early or the bytes are not UTF-8. */
+    data object Cut : BodyResult
+}
+
+/** Reads the body whole, up to [limit] bytes. */
+internal suspend fun ApplicationCall.readBody(limit: Long): BodyResult {
+    val declared = request.headers[HttpHeaders.ContentLength]?.toLongOrNull()
+    if (declared != null && declared > limit) return BodyResult.TooLarge
+    val bytes =
+        try {
+            receiveChannel().readRemaining(limit + 1).readByteArray()
+        } catch (_: IOException) {
+            return BodyResult.Cut
+        }
+    if (bytes.size > limit) return BodyResult.TooLarge
+    if (declared != null && bytes.size < declared) return BodyResult.Cut
+    return try {
+        BodyResult.Whole(
+            Charsets.UTF_8
+                .newDecoder()
+                .decode(ByteBuffer.wrap(bytes))
+                .toString(),
+        )
+    } catch (_: CharacterCodingException) {
+        BodyResult.Cut
+    }
+}
--- /dev/null
+++ b/entry/src/test/kotlin/io/bluebellramp/entry/EntryProgramTest.kt
@@ -0,0 +1,308 @@
+package io.bluebellramp.entry
+
+import io.bluebellramp.core.Address
+import io.bluebellramp.core.EntryId
+import io.bluebellramp.core.ServiceId
+import io.bluebellramp.core.SiteId
+import io.bluebellramp.core.SubmissionId
+import io.bluebellramp.core.WireJson
+import io.bluebellramp.core.ZoneId
+import io.bluebellramp.messages.Answer
+import io.bluebellramp.messages.AnswerOutcome
+import io.bluebellramp.messages.EntrySettings
+import io.bluebellramp.messages.ErrorBody
+import io.bluebellramp.messages.ErrorCode
+import io.bluebellramp.messages.JobSubmission
+import io.bluebellramp.messages.RequestSubmission
+import io.bluebellramp.messages.TaskSpecification
+import io.bluebellramp.messages.TaskStatus
+import io.bluebellramp.runtime.httpLink
+import io.ktor.client.request.get
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.HttpStatusCode
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import java.time.Instant
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+class EntryProgramTest {
+    private val control = FakeControl()
+    private val http = httpLink()
+    private val programs = ArrayList<EntryProgram>()
+    private val agents = ArrayList<FakeAgent>()
+    private val address = freeAddress()
+    private val entry = start("e1", address)
+
+    private fun start(
+        name: String,
+        address: Address,
+    ) = EntryProgram(
+        EntrySettings(
+            entry = EntryId(name),
+            site = SiteId("vestland"),
+            zone = ZoneId("bergen-a"),
+            listen = address,
+            controls = listOf(freeAddress(), control.address),
+            drainMillis = 0,
+            bodyBytes = 100_000,
+        ),
+    ).start().also { programs += it }
+
+    private fun agent(
+        name: String,
+        run: suspend (io.bluebellramp.messages.Dispatch) -> io.bluebellramp.messages.TaskOutcome = { it.done() },
+    ) = FakeAgent(address, name, run = run).start().also { agents += it }
+
+    @AfterEach
+    fun stop() {
+        agents.forEach { it.stop() }
+        programs.forEach { it.stop() }
+        control.stop()
+        http.close()
+    }
+
+    private fun test(block: suspend () -> Unit) =
+        runBlocking {
+            withTimeout(30.seconds) {
+                while (!entry.isReady()) delay(5)
+                block()
+            }
+        }
+
+    private fun job(
+        size: Int = 3,
+        id: SubmissionId = SubmissionId.create(Instant.now()),
+        service: String = "desk",
+    ) = JobSubmission(
+        submission = id,
+        service = ServiceId(service),
+        tasks = List(size) { TaskSpecification(id = "t$it", payload = "p$it") },
+    )
+
+    private suspend fun post(
+        job: JobSubmission,
+        to: Address = address,
+        query: String = "",
+    ) = post("/v1/jobs$query", WireJson.encodeToString(JobSubmission.serializer(), job), to)
+
+    private suspend fun post(
+        path: String,
+        body: String,
+        to: Address = address,
+    ) = http.post("http://$to$path") { setBody(body) }
+
+    private suspend fun HttpResponse.answer() = WireJson.decodeFromString(Answer.serializer(), bodyAsText())
+
+    private suspend fun HttpResponse.error() = WireJson.decodeFromString(ErrorBody.serializer(), bodyAsText())
+
+    @Nested
+    inner class `A caller who submits a job` {
+        @Test
+        fun `gets every result in the order of the tasks`() =
+            test {
+                agent("a1")
+                agent("a2")
+                val response = post(job(50))
+                val answer = response.answer()
+                assertEquals(HttpStatusCode.OK, response.status)
+                assertEquals(AnswerOutcome.COMPLETE, answer.outcome)
+                assertEquals(List(50) { "t$it" to "done p$it" }, answer.results!!.map { it.id to it.result })
+            }
+
+        @Test
+        fun `gets the same answer again for the same id`() =
+            test {
+                agent("a1")
+                val job = job()
+                val first = post(job).answer()
+                assertEquals(first, post(job).answer())
+                assertEquals(first, http.get("http://$address/v1/jobs/${job.submission}").answer())
+            }
+
+        @Test
+        fun `gets a conflict for the same id with another body`() =
+            test {
+                agent("a1")
+                val job = job()
+                post(job)
+                val response = post(job(4, job.submission))
+                assertEquals(HttpStatusCode.Conflict to ErrorCode.SUBMISSION_CONFLICT, response.status to response.error().code)
+            }
+
+        @Test
+        fun `gets the answer of the owner from another entry`() =
+            test {
+                agent("a1") {
+                    delay(100)
+                    it.done()
+                }
+                val other = freeAddress()
+                val second = start("e2", other)
+                while (!second.isReady()) delay(5)
+                val job = job()
+                val answers =
+                    coroutineScope { listOf(address, other, address, other).map { async { post(job, it).answer() } }.awaitAll() }
+                assertEquals(1, answers.distinct().size)
+                assertEquals(AnswerOutcome.COMPLETE, answers[0].outcome)
+                assertEquals(3, agents.sumOf { agent -> agent.frames.sumOf { it.dispatches.size } })
+            }
+
+        @Test
+        fun `gets failed with the number of started tasks when one fails`() =
+            test {
+                agent("a1") { if (it.task == 0) it.done().copy(status = TaskStatus.ERROR, reason = "no spot") else it.done() }
+                val answer = post(job(1)).answer()
+                assertEquals(AnswerOutcome.FAILED, answer.outcome)
+                assertEquals(1, answer.startedTasks)
+                assertEquals(ErrorCode.TASK_FAILED, answer.error?.code)
+            }
+
+        @Test
+        fun `can ask for the answer later`() =
+            test {
+                val go = CompletableDeferred<Unit>()
+                agent("a1") {
+                    go.await()
+                    it.done()
+                }
+                val job = job()
+                assertEquals(HttpStatusCode.Accepted, post(job, query = "?wait=10").status)
+                assertEquals(HttpStatusCode.Accepted, http.get("http://$address/v1/jobs/${job.submission}?wait=1").status)
+                go.complete(Unit)
+                assertEquals(AnswerOutcome.COMPLETE, http.get("http://$address/v1/jobs/${job.submission}").answer().outcome)
+            }
+
+        @Test
+        fun `gets not run for a cancelled job of which nothing started`() =
+            test {
+                val job = job()
+                post(job, query = "?wait=50")
+                val answer = post("/v1/jobs/${job.submission}/cancel", "").answer()
+                assertEquals(AnswerOutcome.NOT_RUN to ErrorCode.CANCELLED, answer.outcome to answer.error?.code)
+            }
+    }
+
+    @Nested
+    inner class `A caller who sends a request` {
+        @Test
+        fun `gets one result`() =
+            test {
+                agent("a1")
+                val request = RequestSubmission(SubmissionId.create(Instant.now()), ServiceId("desk"), "price")
+                val answer = post("/v1/requests", WireJson.encodeToString(RequestSubmission.serializer(), request)).answer()
+                assertEquals(listOf("done price"), answer.results?.map { it.result })
+            }
+    }
+
+    @Nested
+    inner class `A call that can't be run` {
+        private suspend fun assertRefused(
+            status: HttpStatusCode,
+            code: ErrorCode,
+            body: String,
+        ) {
+            val response = post("/v1/jobs", body)
+            assertEquals(status to code, response.status to response.error().code, body.take(200))
+            assertTrue(agents.all { agent -> agent.frames.all { it.dispatches.isEmpty() } })
+        }
+
+        private fun text(job: JobSubmission) = WireJson.encodeToString(JobSubmission.serializer(), job)
+
+        @Test
+        fun `is refused with its reason and starts nothing`() =
+            test {
+                agent("a1")
+                val job = job()
+                val old = job(id = SubmissionId.create(Instant.now().minusSeconds(601)))
+                val future = job(id = SubmissionId.create(Instant.now().plusSeconds(70)))
+                val same = job.copy(tasks = listOf(job.tasks[0], job.tasks[0]))
+                val large = job.copy(tasks = listOf(job.tasks[0].copy(declaredMegabytes = 1_001)))
+                assertRefused(HttpStatusCode.BadRequest, ErrorCode.INVALID_BODY, "{")
+                assertRefused(HttpStatusCode.BadRequest, ErrorCode.INVALID_BODY, text(job).dropLast(3))
+                assertRefused(HttpStatusCode.BadRequest, ErrorCode.INVALID_BODY, text(job(0)))
+                assertRefused(HttpStatusCode.BadRequest, ErrorCode.INVALID_BODY, text(job(1_801)))
+                assertRefused(HttpStatusCode.BadRequest, ErrorCode.INVALID_BODY, text(same))
+                assertRefused(HttpStatusCode.BadRequest, ErrorCode.INVALID_BODY, text(job).replaceFirst("{", """{"urgent":true,"""))
+                assertRefused(HttpStatusCode.BadRequest, ErrorCode.INVALID_SUBMISSION, text(job(id = SubmissionId("7"))))
+                assertRefused(HttpStatusCode.BadRequest, ErrorCode.INVALID_SUBMISSION, text(future))
+                assertRefused(HttpStatusCode.Gone, ErrorCode.EXPIRED_SUBMISSION, text(old))
+                assertRefused(HttpStatusCode.NotFound, ErrorCode.UNKNOWN_SERVICE, text(job(service = "nobody")))
+                assertRefused(HttpStatusCode.UnprocessableEntity, ErrorCode.NEVER_RUNNABLE, text(large))
+                assertRefused(HttpStatusCode.PayloadTooLarge, ErrorCode.BODY_TOO_LARGE, " ".repeat(100_001))
+            }
+
+        @Test
+        fun `names every violation with its path`() =
+            test {
+                val error = post("/v1/jobs", """{"submission":"x","service":"desk","tasks":[{"id":""}],"deadlineMillis":0}""").error()
+                assertEquals(
+                    setOf("$.submission", "$.tasks[0].id", "$.tasks[0]", "$.deadlineMillis"),
+                    error.violations.map { it.path }.toSet(),
+                )
+            }
+    }
+
+    @Nested
+    inner class `An agent` {
+        @Test
+        fun `gets a permit that lasts no longer than the lease`() =
+            test {
+                val agent = agent("a1")
+                while (agent.permits.isEmpty()) delay(5)
+                val permit = agent.permits.first()
+                assertTrue(permit.inService && permit.validMillis in 1..2_000)
+                assertEquals(4, permit.slots)
+                assertEquals(listOf(address), permit.entries)
+                assertNotNull(control.lastLease)
+            }
+    }
+
+    @Nested
+    inner class `An entry without a majority for claims` {
+        @Test
+        fun `refuses and starts nothing`() =
+            test {
+                agent("a1")
+                control.abstains = true
+                val response = post(job())
+                assertEquals(HttpStatusCode.ServiceUnavailable to ErrorCode.CLAIMS_UNAVAILABLE, response.status to response.error().code)
+                assertTrue(agents.all { agent -> agent.frames.all { it.dispatches.isEmpty() } })
+                control.abstains = false
+                assertEquals(AnswerOutcome.COMPLETE, post(job()).answer().outcome)
+            }
+    }
+
+    @Nested
+    inner class `An entry that ends` {
+        @Test
+        fun `answers what is in flight`() =
+            test {
+                agent("a1") {
+                    delay(300)
+                    it.done()
+                }
+                coroutineScope {
+                    val answer = async { post(job()).answer() }
+                    delay(100)
+                    programs.remove(entry)
+                    entry.stop()
+                    assertEquals(AnswerOutcome.COMPLETE, answer.await().outcome)
+                    assertTrue(control.lastLease!!.leaving)
+                }
+            }
+    }
+}
