Load tool and count of starts

Cause: the whole path needs an open-loop load that checks every answer, and a count of what started twice. Change: bluebellramp-bench load sends jobs and requests at their intended times, counts responses from there, checks each answer against its own payload, and reports percentiles, slowdown against a clairvoyant schedule of the same jobs, work by second and growth of counters. bluebellramp-bench starts reads starts files.

--- /dev/null
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/LoadRecords.kt
@@ -0,0 +1,153 @@
+package io.bluebellramp.bench
+
+import io.bluebellramp.core.SubmissionId
+import io.bluebellramp.messages.Answer
+import io.bluebellramp.messages.AnswerOutcome
+import io.bluebellramp.messages.JobSubmission
+import io.bluebellramp.messages.RequestSubmission
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import java.nio.file.Files
+import java.time.Instant
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/** One submission of a run, for the history file. Times are ms since the first arrival could come. */
+@Serializable
+internal data class SubmissionRecord(
+    val submission: SubmissionId,
+    val kind: String,
+    val tasks: Int,
+    val intendedMillis: Double,
+    val answeredMillis: Double,
+    val idealMillis: Double,
+    val workMillis: Double,
+    val outcome: String,
+    val fault: String?,
+)
+
+/** Collects what came of each submission. It may be used from several threads. */
+internal class LoadRecords(
+    private val settings: LoadSettings,
+    private val plans: List<JobPlan>,
+) {
+    private val ideal = IdealSchedule.responses(plans, settings.workload.slots)
+    private val records = ArrayList<SubmissionRecord>()
+
+    fun job(
+        plan: JobPlan,
+        job: JobSubmission,
+        result: CallResult,
+        now: Duration,
+    ) = add(
+        SubmissionRecord(
+            submission = job.submission,
+            kind = JOB,
+            tasks = plan.tasks.size,
+            intendedMillis = plan.at.millis(),
+            answeredMillis = now.millis(),
+            idealMillis = ideal[plan.index].millis(),
+            workMillis = plan.work.millis(),
+            outcome = outcome(result),
+            fault = fault(result) { AnswerCheck.fault(job, it) },
+        ),
+    )
+
+    fun request(
+        request: RequestSubmission,
+        result: CallResult,
+        at: Duration,
+        now: Duration,
+    ) = add(
+        SubmissionRecord(
+            submission = request.submission,
+            kind = REQUEST,
+            tasks = 1,
+            intendedMillis = at.millis(),
+            answeredMillis = now.millis(),
+            idealMillis = settings.requests.runTime.millis(),
+            workMillis = settings.requests.runTime.millis(),
+            outcome = outcome(result),
+            fault = fault(result) { AnswerCheck.fault(request, it) },
+        ),
+    )
+
+    /** Returns the figures of the run, and writes its history. */
+    fun report(
+        startedAt: Instant,
+        before: Map<String, MetricsPage>,
+        after: Map<String, MetricsPage>,
+    ): LoadReport {
+        settings.history?.let { file -> Files.write(file, records.map { Json.encodeToString(SubmissionRecord.serializer(), it) }) }
+        val jobs = records.filter { it.kind == JOB }
+        val requests = records.filter { it.kind == REQUEST }
+        val complete = jobs.filter { it.outcome == COMPLETE }
+        val tasks = plans.sumOf { it.tasks.size }
+        return LoadReport(
+            load = settings.workload.load,
+            slots = settings.workload.slots,
+            seconds =
+                settings.workload.length.inWholeSeconds
+                    .toInt(),
+            seed = settings.workload.seed,
+            jobs = jobs.size,
+            tasks = tasks,
+            requests = requests.size,
+            jobOutcomes = outcomes(jobs),
+            requestOutcomes = outcomes(requests),
+            wrong = records.count { it.fault != null },
+            firstWrong = records.firstNotNullOfOrNull { it.fault },
+            responseMillis = Percentiles.of(complete.map { it.responseMillis() }),
+            slowdown = Percentiles.of(complete.map { it.responseMillis() / it.idealMillis }),
+            requestMillis = Percentiles.of(requests.filter { it.outcome == COMPLETE }.map { it.responseMillis() }),
+            workSeconds = complete.sumOf { it.workMillis } / MILLIS,
+            series = WorkSeries.of(complete, startedAt, settings.startsFiles),
+            marks = settings.marks,
+            counters = after.flatMap { (url, page) -> page.growthSince(before[url], process = url, tasks = tasks) },
+        )
+    }
+
+    private fun add(record: SubmissionRecord) = synchronized(records) { records += record }
+
+    private fun SubmissionRecord.responseMillis() = answeredMillis - intendedMillis
+
+    private fun outcomes(of: List<SubmissionRecord>): List<OutcomeCount> =
+        of.groupingBy { it.outcome }.eachCount().map { (reason, count) -> OutcomeCount(reason = reason, submissions = count) }
+
+    private fun outcome(result: CallResult): String =
+        when (result) {
+            is CallResult.Answered -> {
+                listOfNotNull(
+                    result.answer.outcome.wording(),
+                    result.answer.error
+                        ?.code
+                        ?.name
+                        ?.lowercase(),
+                ).joinToString(" ")
+            }
+
+            is CallResult.Refused -> {
+                "refused ${result.error.code.name.lowercase()}"
+            }
+
+            is CallResult.Broken -> {
+                "broken ${result.reason}"
+            }
+        }
+
+    private fun AnswerOutcome.wording() = name.lowercase()
+
+    private fun fault(
+        result: CallResult,
+        check: (Answer) -> String?,
+    ): String? = if (result is CallResult.Answered) check(result.answer) else null
+
+    private fun Duration.millis() = toDouble(DurationUnit.MILLISECONDS)
+
+    private companion object {
+        const val JOB = "job"
+        const val REQUEST = "request"
+        const val COMPLETE = "complete"
+        const val MILLIS = 1000.0
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/Main.kt
@@ -0,0 +1,24 @@
+package io.bluebellramp.bench
+
+import io.bluebellramp.runtime.VERSION
+import io.bluebellramp.runtime.configureLogging
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
+import kotlin.system.exitProcess
+
+internal const val PROGRAM = "bluebellramp-bench"
+
+/** Runs the experiment that the first word of [args] names. */
+@OptIn(ExperimentalCli::class)
+fun main(args: Array<String>) {
+    configureLogging(file = null)
+    if (args.firstOrNull() == "--version") {
+        println("$PROGRAM $VERSION")
+        return
+    }
+    val commands = listOf(LoadCommand(), StartsCommand())
+    val parser = ArgParser(PROGRAM)
+    parser.subcommands(*commands.toTypedArray())
+    parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
+    exitProcess(commands.first { it.name == args.first() }.exitCode)
+}
