Trials of the policies in virtual time

Cause: the policies are to be measured against the ideal and against baselines before they are tuned.

--- /dev/null
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/trial/CreditAgent.kt
@@ -0,0 +1,120 @@
+package io.bluebellramp.bench.trial
+
+import io.bluebellramp.core.EntryId
+import io.bluebellramp.placement.EntryStanding
+import io.bluebellramp.placement.GrantPolicy
+import io.bluebellramp.placement.QueueDemand
+import kotlin.time.Duration
+
+/** An agent that grants its slots by the real policy. */
+internal class CreditAgent(
+    val index: Int,
+    private val world: TrialWorld,
+    private val policy: GrantPolicy,
+    private val entries: () -> List<CreditEntry>,
+) {
+    private class Standing(
+        val entry: Int,
+    ) {
+        var unspent = 0
+        var recalled = 0
+        var demand = QueueDemand(tasks = 0, tasksLeft = 0)
+
+        fun view() = EntryStanding(entry = EntryId("$entry"), unspent = unspent, demand = demand, recalled = recalled)
+    }
+
+    private val executor = world.executors[index]
+    private val standings = List(world.settings.entries) { Standing(it) }
+    private val queued = ArrayDeque<TrialTask>()
+    private var inService = true
+    private val outbox =
+        FrameOutbox(
+            time = world.time,
+            create = ::ToEntry,
+            delay = { world.site.delay(it, index) },
+            seal = { _, frame -> world.tally.message(frame.kind) },
+            deliver = { entry, frame -> entries()[entry].receive(index, frame) },
+        )
+
+    fun receive(
+        entry: Int,
+        frame: ToAgent,
+    ) {
+        val standing = standings[entry]
+        frame.demand?.let { standing.demand = it }
+        frame.dispatches.forEach { accept(standing, it) }
+        standing.unspent -= frame.returned
+        standing.recalled = maxOf(0, standing.recalled - frame.answered)
+        startQueued()
+        grant()
+    }
+
+    /** Grants what is free. */
+    fun grant() {
+        if (!inService) return
+        val used = executor.running + queued.size + standings.sumOf { it.unspent }
+        val decision = policy.decide(executor.slots + world.settings.tuning.prefetch - used, standings.map { it.view() })
+        decision.grants.forEach { (entry, credits) -> grant(standings[entry.value.toInt()], credits) }
+        decision.recalls.forEach { (entry, credits) -> recall(standings[entry.value.toInt()], credits) }
+    }
+
+    /** Stops to start tasks, or starts again. */
+    fun setInService(value: Boolean) {
+        inService = value
+        if (value) return grant()
+        standings.forEach {
+            it.unspent = 0
+            it.recalled = 0
+            outbox.to(it.entry).dropped = true
+        }
+        queued.forEach { refuse(it) }
+        queued.clear()
+    }
+
+    private fun accept(
+        standing: Standing,
+        task: TrialTask,
+    ) {
+        if (!inService || standing.unspent == 0) return refuse(task)
+        standing.unspent--
+        standing.recalled = minOf(standing.recalled, standing.unspent)
+        queued += task
+    }
+
+    private fun startQueued() {
+        while (inService && executor.free > 0) {
+            val task = queued.removeFirstOrNull() ?: return
+            executor.run(task) { ran, failed -> ended(task, ran, failed) }
+        }
+    }
+
+    private fun ended(
+        task: TrialTask,
+        ran: Duration,
+        failed: Boolean,
+    ) {
+        outbox.to(task.job.entry).outcomes += TrialOutcome(task, ran, failed, notRun = false)
+        startQueued()
+        grant()
+    }
+
+    private fun refuse(task: TrialTask) {
+        outbox.to(task.job.entry).outcomes += TrialOutcome(task, Duration.ZERO, failed = false, notRun = true)
+    }
+
+    private fun grant(
+        standing: Standing,
+        credits: Int,
+    ) {
+        standing.unspent += credits
+        outbox.to(standing.entry).granted += credits
+    }
+
+    private fun recall(
+        standing: Standing,
+        credits: Int,
+    ) {
+        standing.recalled += credits
+        outbox.to(standing.entry).recalled += credits
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/trial/TrialRun.kt
@@ -0,0 +1,82 @@
+package io.bluebellramp.bench.trial
+
+import io.bluebellramp.bench.IdealSchedule
+import io.bluebellramp.bench.JobPlan
+import io.bluebellramp.core.SubmissionId
+import java.time.Instant
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Runs one policy on one set of jobs in virtual time. */
+internal class TrialRun(
+    private val settings: TrialSettings,
+    policy: TrialPolicy,
+) {
+    private val site = settings.site
+    private val time = VirtualTime()
+    private val tally = TrialTally()
+    private val random = Random(settings.seed)
+    private val jobs = settings.jobs().map { job(it) }
+    private val world =
+        TrialWorld(settings = settings, time = time, tally = tally, executors = List(site.executors) { executor(it) }, answer = ::answer)
+    private val system = policy.create(world)
+
+    /** Runs until every job is over. */
+    fun run(): TrialSample {
+        val last = jobs.maxOfOrNull { it.plan.at } ?: Duration.ZERO
+        jobs.forEach { job -> time.at(job.plan.at + site.toClients) { system.submit(job) } }
+        time.at(last + site.toClients) { lastArrived() }
+        planScenario()
+        time.run()
+        return TrialSample(
+            settings = settings,
+            jobs = jobs,
+            ideal = IdealSchedule.responses(jobs.map { it.plan }, site.allSlots),
+            tally = tally,
+        )
+    }
+
+    private fun job(plan: JobPlan): TrialJob {
+        val id = SubmissionId.create(Instant.EPOCH, high = 0, low = plan.index.toLong())
+        return TrialJob(plan = plan, submission = id, entry = random.nextInt(settings.entries))
+    }
+
+    private fun executor(index: Int): TrialExecutor {
+        val odd = index == 0
+        return TrialExecutor(
+            index = index,
+            slots = site.slots,
+            time = time,
+            tally = tally,
+            slowness = if (odd && settings.scenario == TrialScenario.STRAGGLER) STRAGGLER_SLOWNESS else 1.0,
+            failing = odd && settings.scenario == TrialScenario.FAILING,
+        )
+    }
+
+    private fun answer(job: TrialJob) {
+        job.answered = time.now + site.toClients
+    }
+
+    private fun lastArrived() {
+        if (jobs.all { it.left == 0 || it.stopped }) world.busy = false else time.after(CHECK_PERIOD) { lastArrived() }
+    }
+
+    private fun planScenario() {
+        if (settings.scenario == TrialScenario.CANCELS) time.at(settings.changeAt) { cancelHalf() }
+        if (settings.scenario == TrialScenario.ZONE) {
+            time.at(settings.changeAt) { system.zoneOut(0) }
+            time.at(settings.returnAt) { system.zoneIn(0) }
+        }
+    }
+
+    private fun cancelHalf() =
+        jobs
+            .filter { it.plan.at + site.toClients < time.now && it.left > 0 && !it.stopped && random.nextBoolean() }
+            .forEach { system.cancel(it) }
+
+    private companion object {
+        const val STRAGGLER_SLOWNESS = 5.0
+        val CHECK_PERIOD = 1.seconds
+    }
+}
