--- a/bench/src/main/kotlin/io/bluebellramp/bench/trial/TrialCommand.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/trial/TrialCommand.kt
@@ -3,6 +3,7 @@
 import io.bluebellramp.bench.BenchCommand
 import io.bluebellramp.bench.ReportJson
 import io.bluebellramp.bench.UsageException
+import io.bluebellramp.placement.FewestLeftQueue
 import io.bluebellramp.runtime.ExitCode
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
@@ -31,6 +32,11 @@
     private val seed by option(ArgType.Int, "seed", description = "First seed").default(1)
     private val prefetch by option(ArgType.Int, "prefetch", description = "Places in the short queue of an agent").default(0)
     private val newsMillis by option(ArgType.Int, "news-millis", description = "Time between reports of demand (ms)").default(20)
+    private val lateFactor by
+        option(ArgType.Double, "late-factor", description = "Multiple of the ideal response after which a job is late")
+            .default(FewestLeftQueue.LATE_FACTOR)
+    private val lateShare by
+        option(ArgType.Double, "late-share", description = "Share of the starts for late jobs").default(FewestLeftQueue.LATE_SHARE)
     private val out by option(ArgType.String, "out", description = "File for the report (JSON)")
     private val compare by option(ArgType.String, "compare", description = "Report to compare with the one named after it; runs nothing")
     private val other by argument(ArgType.String, description = "The later report of --compare").optional()
@@ -64,9 +70,12 @@
         scenario = scenario,
         length = seconds.seconds,
         seed = seed.toLong(),
-        tuning = TrialTuning(prefetch = prefetch, newsPeriod = newsMillis.milliseconds),
+        tuning = tuning(),
     )
 
+    private fun tuning() =
+        TrialTuning(prefetch = prefetch, newsPeriod = newsMillis.milliseconds, lateFactor = lateFactor, lateShare = lateShare)
+
     private fun row(
         cell: TrialSettings,
         policy: TrialPolicy,
--- a/bench/src/main/kotlin/io/bluebellramp/bench/trial/TrialPolicy.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/trial/TrialPolicy.kt
@@ -19,10 +19,14 @@
     FIRST_COME("first-come", { CreditSystem(it, CreditPolicies({ FirstComeQueue() }, { LeastRunningPool() }, { DemandGrantPolicy() })) }),
     FAIR_SHARE("fair-share", { CreditSystem(it, CreditPolicies({ FairShareQueue() }, { LeastRunningPool() }, { DemandGrantPolicy() })) }),
     EARLIER("earlier", { CreditSystem(it, CreditPolicies({ FewestLeftQueue() }, { LeastRunningPool() }, { DemandGrantPolicy() })) }),
-    CURRENT(
-        "current",
-        { CreditSystem(it, CreditPolicies({ m -> Placement.queue(m) }, { m -> Placement.pool(m) }, { Placement.grants() })) },
-    ),
+    CURRENT("current", { CreditSystem(it, currentPolicies(it.settings.tuning)) }),
 }
 
 private val STALE = 100.milliseconds
+
+private fun currentPolicies(tuning: TrialTuning) =
+    CreditPolicies(
+        queue = { model -> Placement.queue(model = model, lateFactor = tuning.lateFactor, lateShare = tuning.lateShare) },
+        pool = { model -> Placement.pool(model) },
+        grants = { Placement.grants() },
+    )
--- a/bench/src/main/kotlin/io/bluebellramp/bench/trial/TrialReport.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/trial/TrialReport.kt
@@ -21,6 +21,8 @@
     val wastedPerTask: Double,
     /** Messages that carry neither a dispatch nor an outcome, for each task. */
     val controlPerTask: Double,
+    /** Messages that report demand and nothing else, for each task. */
+    val demandPerTask: Double,
     /** Credits recalled and returned, as messages for each task. */
     val recallsPerTask: Double,
     /** Share of the tasks that a failing worker failed. */
@@ -63,6 +65,7 @@
                         MessageKind.REFUSAL,
                         MessageKind.CANCEL,
                     ),
+                demandPerTask = samples.perTask(tasks, MessageKind.DEMAND),
                 recallsPerTask = samples.perTask(tasks, MessageKind.RECALL, MessageKind.RETURN),
                 failedShare = samples.sumOf { it.tally.failed }.toDouble() / tasks,
                 zoneShare = if (settings.scenario == TrialScenario.ZONE) samples.minOf { it.zoneShare() } else 0.0,
--- a/bench/src/main/kotlin/io/bluebellramp/bench/trial/TrialSettings.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/trial/TrialSettings.kt
@@ -54,8 +54,12 @@
  *
  * @property prefetch places in the short queue of an agent
  * @property newsPeriod time between reports of changed demand
+ * @property lateFactor multiple of its ideal response after which a job is late
+ * @property lateShare share of the starts for late jobs
  */
 internal data class TrialTuning(
     val prefetch: Int,
     val newsPeriod: Duration,
+    val lateFactor: Double,
+    val lateShare: Double,
 )
--- a/bench/src/main/kotlin/io/bluebellramp/bench/trial/TrialTable.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/trial/TrialTable.kt
@@ -3,7 +3,7 @@
 /** Prints trial figures as a table. */
 internal object TrialTable {
     private const val HEADER =
-        "site    scenario   load entries policy        median     p90     p99     max wide-max  waste control recall failed   zone"
+        "site    scenario   load entries policy        median     p90     p99     max wide-max  waste control demand recall failed   zone"
 
     /** Prints the heading. */
     fun printHeader() = println(HEADER)
@@ -11,7 +11,7 @@
     /** Prints one line. */
     fun printRow(row: TrialRow) =
         println(
-            "%-7s %-9s %5.2f %7d %-12s %7.3f %7.2f %7.2f %7.1f %8.2f %6.3f %7.2f %6.3f %6.4f %6.3f".format(
+            "%-7s %-9s %5.2f %7d %-12s %7.3f %7.2f %7.2f %7.1f %8.2f %6.3f %7.2f %6.2f %6.3f %6.4f %6.3f".format(
                 row.site,
                 row.scenario,
                 row.load,
@@ -24,6 +24,7 @@
                 row.wideSlowdown.max,
                 row.wastedPerTask,
                 row.controlPerTask,
+                row.demandPerTask,
                 row.recallsPerTask,
                 row.failedShare,
                 row.zoneShare,
--- a/placement/src/main/kotlin/io/bluebellramp/placement/FewestLeftQueue.kt
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/FewestLeftQueue.kt
@@ -59,9 +59,9 @@
     /** Defaults. */
     companion object {
         /** A job is late after this multiple of its ideal response. */
-        const val LATE_FACTOR = 3.0
+        const val LATE_FACTOR = 5.0
 
         /** Late jobs get this share of the starts. */
-        const val LATE_SHARE = 0.25
+        const val LATE_SHARE = 0.02
     }
 }
--- a/placement/src/main/kotlin/io/bluebellramp/placement/Placement.kt
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/Placement.kt
@@ -6,7 +6,9 @@
     fun queue(
         model: RunTimeModel = RunTimeModel(),
         quota: TeamQuota = TeamQuota.Unlimited,
-    ): JobQueue = FewestLeftQueue(ideal = model, quota = quota)
+        lateFactor: Double = FewestLeftQueue.LATE_FACTOR,
+        lateShare: Double = FewestLeftQueue.LATE_SHARE,
+    ): JobQueue = FewestLeftQueue(ideal = model, quota = quota, lateFactor = lateFactor, lateShare = lateShare)
 
     /** Returns the credits of one service in an entry. */
     fun pool(
