A straggler gets a trial every 10 s and nothing else

Change: a target counts as average until its samples outweigh 8 average ones; at twice the mean of the service it gets one task every 10 s; three good trials in a row return it.

--- a/placement/src/main/kotlin/io/bluebellramp/placement/RunTimeModel.kt
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/RunTimeModel.kt
@@ -24,7 +24,7 @@
 class RunTimeModel : IdealResponse {
     private val sketch = RunTimeSketch()
     private val targets = HashMap<TargetId, Average>()
-    private val service = Average()
+    private val service = Average(SERVICE_WINDOW)
 
     /** Slots of the service that are in service, as last known. Whoever learns of targets sets it. */
     var slots: Int = DEFAULT_SLOTS
@@ -42,7 +42,7 @@
     ) {
         val millis = ran.toDouble(DurationUnit.MILLISECONDS)
         service.add(millis)
-        targets.getOrPut(target) { Average() }.add(millis)
+        targets.getOrPut(target) { Average(TARGET_WINDOW) }.add(millis)
         sketch.add(ran)
     }
 
@@ -51,11 +51,16 @@
         targets.remove(target)
     }
 
-    /** How many times slower [target] is than the service, 1.0 if it is not known to differ. */
+    /**
+     * How many times slower [target] is than the service.
+     *
+     * A target counts as average until its samples say otherwise: they are weighed against [PRIOR_SAMPLES] average ones, so that a
+     * real straggler shows after a few tasks and a single long task makes none.
+     */
     fun slowness(target: TargetId): Double {
         val average = targets[target] ?: return 1.0
-        if (average.count < MIN_SAMPLES || service.value <= 0.0) return 1.0
-        return average.value / service.value
+        if (service.value <= 0.0) return 1.0
+        return (average.weight * average.value / service.value + PRIOR_SAMPLES) / (average.weight + PRIOR_SAMPLES)
     }
 
     /** The run time that a [share] of the tasks, from 0 to 1, does not exceed. */
@@ -90,22 +95,29 @@
     private fun typicalLongest(tasks: Int): Duration = quantile(tasks / (tasks + 1.0))
 
     /** An exponentially weighted moving average that starts as a plain mean. */
-    private class Average {
+    private class Average(
+        private val window: Int,
+    ) {
         var count = 0
             private set
         var value = 0.0
             private set
 
+        /** Samples that the value stands for. */
+        val weight: Int get() = minOf(count, window)
+
         fun add(sample: Double) {
             count++
-            value += (sample - value) / minOf(count, WINDOW)
+            value += (sample - value) / weight
         }
     }
 
     private companion object {
         const val DEFAULT_SLOTS = 8
-        const val WINDOW = 200
+        const val SERVICE_WINDOW = 200
+        const val TARGET_WINDOW = 30
         const val MIN_SAMPLES = 20
+        const val PRIOR_SAMPLES = 8
         const val FAVOURABLE_SHARE = 0.5
         val FIRST_GUESS = 500.milliseconds
     }
--- a/placement/src/main/kotlin/io/bluebellramp/placement/SpreadingPool.kt
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/SpreadingPool.kt
@@ -3,12 +3,14 @@
 import io.bluebellramp.core.TargetId
 import io.bluebellramp.core.ZoneId
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Spends a credit of a healthy target on which this entry has the least work, so that a job spreads over targets and zones.
  *
- * The tasks on a target count by its learned slowness, and a straggler gets no more tasks than it would run in the time in
- * which an average target runs its share. Ejected targets get only trials.
+ * The tasks on a target count by its learned slowness. A straggler gets a single task from time to time, which shows whether it
+ * has recovered: the last task decides the response of a job, so the few tasks that it could run would cost more than they give.
+ * Ejected targets get only trials, too.
  */
 class SpreadingPool(
     private val model: RunTimeModel = RunTimeModel(),
@@ -18,7 +20,8 @@
         val zone: ZoneId,
         var credits: Int = 0,
         var running: Int = 0,
-        var size: Int = 0,
+        var lastSpent: Duration = -Duration.INFINITE,
+        var goodTrials: Int = 0,
     )
 
     private val targets = LinkedHashMap<TargetId, Holding>()
@@ -29,9 +32,7 @@
         credits: Int,
     ) {
         health.joined(target)
-        val holding = targets.getOrPut(target) { Holding(zone) }
-        holding.credits += credits
-        holding.size = maxOf(holding.size, holding.credits + holding.running)
+        targets.getOrPut(target) { Holding(zone) }.credits += credits
     }
 
     override fun spend(now: Duration): CreditedTarget? {
@@ -41,6 +42,7 @@
             usable.entries.minWithOrNull(compareBy({ load(it.key, it.value) }, { zones[it.value.zone] ?: 0 })) ?: return null
         holding.credits--
         holding.running++
+        holding.lastSpent = now
         health.used(target)
         return holding.view(target)
     }
@@ -52,7 +54,7 @@
         now: Duration,
     ) {
         release(target)
-        if (!failed) model.observe(target, ran)
+        if (!failed) learn(target, ran)
         health.ended(target, failed, now)
     }
 
@@ -82,14 +84,34 @@
         target: TargetId,
         holding: Holding,
         now: Duration,
-    ): Boolean = holding.credits > 0 && health.mayUse(target, now) && !isStragglerFull(target, holding)
+    ): Boolean = holding.credits > 0 && health.mayUse(target, now) && (!isStraggler(target) || isTrialDue(holding, now))
 
-    private fun isStragglerFull(
+    /** Slowness is relative to the mean of the service, so at most half of the targets can be stragglers. */
+    private fun isStraggler(target: TargetId): Boolean = model.slowness(target) >= STRAGGLER_SLOWNESS
+
+    private fun isTrialDue(
+        holding: Holding,
+        now: Duration,
+    ): Boolean = holding.running == 0 && now - holding.lastSpent >= STRAGGLER_TRIAL_PERIOD
+
+    private fun learn(
+        target: TargetId,
+        ran: Duration,
+    ) {
+        val holding = targets[target]
+        if (holding != null && isStraggler(target)) countTrial(target, holding, isGood = ran < model.mean * STRAGGLER_SLOWNESS)
+        model.observe(target, ran)
+    }
+
+    private fun countTrial(
         target: TargetId,
         holding: Holding,
-    ): Boolean {
-        val slowness = model.slowness(target)
-        return slowness >= STRAGGLER && holding.running >= maxOf(1.0, holding.size / slowness)
+        isGood: Boolean,
+    ) {
+        holding.goodTrials = if (isGood) holding.goodTrials + 1 else 0
+        if (holding.goodTrials < TRIALS_TO_RECOVER) return
+        holding.goodTrials = 0
+        model.forget(target)
     }
 
     private fun load(
@@ -106,6 +128,8 @@
     private fun Holding.view(target: TargetId) = CreditedTarget(target = target, zone = zone, credits = credits, running = running)
 
     private companion object {
-        const val STRAGGLER = 2.0
+        const val STRAGGLER_SLOWNESS = 2.0
+        val STRAGGLER_TRIAL_PERIOD = 10.seconds
+        const val TRIALS_TO_RECOVER = 3
     }
 }
