--- a/bench/src/main/kotlin/io/bluebellramp/bench/IdealSchedule.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/IdealSchedule.kt
@@ -4,6 +4,12 @@
 import java.util.TreeSet
 import kotlin.time.Duration
 
+/** The number of slots in service from [at] on. */
+internal data class SlotsFrom(
+    val at: Duration,
+    val slots: Int,
+)
+
 /**
  * The response of each job under a central scheduler that knows every run time and has no delay.
  *
@@ -36,22 +42,31 @@
     fun responses(
         jobs: List<JobPlan>,
         slots: Int,
+    ): List<Duration> = responses(jobs, listOf(SlotsFrom(at = Duration.ZERO, slots = slots)))
+
+    /** Returns the response of each of [jobs] on slots whose number changes, by index. */
+    fun responses(
+        jobs: List<JobPlan>,
+        slots: List<SlotsFrom>,
     ): List<Duration> = orders.map { run(jobs, slots, it) }.minBy { it.fold(Duration.ZERO, Duration::plus) }
 
     private fun run(
         jobs: List<JobPlan>,
-        slots: Int,
+        slots: List<SlotsFrom>,
         order: Comparator<Work>,
     ): List<Duration> {
         val works = jobs.map { Work(it) }
         val arrivals = ArrayDeque(works)
         val waiting = TreeSet(order)
         val running = PriorityQueue<Running>(compareBy { it.end })
-        while (arrivals.isNotEmpty() || running.isNotEmpty()) {
-            val now = minOf(arrivals.firstOrNull()?.job?.at ?: Duration.INFINITE, running.peek()?.end ?: Duration.INFINITE)
+        val changes = ArrayDeque(slots)
+        var open = 0
+        while (arrivals.isNotEmpty() || running.isNotEmpty() || waiting.isNotEmpty()) {
+            val now = listOfNotNull(arrivals.firstOrNull()?.job?.at, running.peek()?.end, changes.firstOrNull()?.at).min()
+            while (changes.isNotEmpty() && changes.first().at <= now) open = changes.removeFirst().slots
             while (running.isNotEmpty() && running.peek().end <= now) end(running.poll(), waiting)
             while (arrivals.isNotEmpty() && arrivals.first().job.at <= now) waiting += arrivals.removeFirst()
-            while (running.size < slots && waiting.isNotEmpty()) running += start(waiting.first(), waiting, now)
+            while (running.size < open && waiting.isNotEmpty()) running += start(waiting.first(), waiting, now)
         }
         return works.map { it.end - it.job.at }
     }
--- a/bench/src/main/kotlin/io/bluebellramp/bench/trial/TrialRun.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/trial/TrialRun.kt
@@ -32,7 +32,7 @@
         return TrialSample(
             settings = settings,
             jobs = jobs,
-            ideal = IdealSchedule.responses(jobs.map { it.plan }, site.allSlots),
+            ideal = IdealSchedule.responses(jobs.map { it.plan }, settings.slots()),
             tally = tally,
         )
     }
@@ -65,8 +65,8 @@
     private fun planScenario() {
         if (settings.scenario == TrialScenario.CANCELS) time.at(settings.changeAt) { cancelHalf() }
         if (settings.scenario == TrialScenario.ZONE) {
-            time.at(settings.changeAt) { system.zoneOut(0) }
-            time.at(settings.returnAt) { system.zoneIn(0) }
+            time.at(settings.changeAt) { system.zoneOut(TrialSettings.LEAVING_ZONE) }
+            time.at(settings.returnAt) { system.zoneIn(TrialSettings.LEAVING_ZONE) }
         }
     }
 
--- a/bench/src/main/kotlin/io/bluebellramp/bench/trial/TrialSample.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/trial/TrialSample.kt
@@ -22,13 +22,11 @@
 
     /** Work done while a zone was out and while it came back, over what the remaining slots allow. */
     fun zoneShare(): Double {
-        val out = share(settings.changeAt + SETTLE, settings.returnAt, slots = inService())
+        val out = share(settings.changeAt + SETTLE, settings.returnAt, slots = settings.remainingSlots)
         val back = share(settings.returnAt, settings.returnAt + SETTLE, slots = settings.site.allSlots)
         return minOf(out, back)
     }
 
-    private fun inService(): Int = (0 until settings.site.executors).count { settings.site.zoneOf(it) != 0 } * settings.site.slots
-
     private fun share(
         from: Duration,
         to: Duration,
--- a/bench/src/main/kotlin/io/bluebellramp/bench/trial/TrialSettings.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/trial/TrialSettings.kt
@@ -1,6 +1,7 @@
 package io.bluebellramp.bench.trial
 
 import io.bluebellramp.bench.JobPlan
+import io.bluebellramp.bench.SlotsFrom
 import io.bluebellramp.bench.Workload
 import io.bluebellramp.bench.WorkloadSettings
 import kotlin.time.Duration
@@ -32,6 +33,16 @@
     /** When the zone returns. */
     val returnAt: Duration get() = length * 2 / 3
 
+    /** Slots outside the zone that leaves. */
+    val remainingSlots: Int get() = (0 until site.executors).count { site.zoneOf(it) != LEAVING_ZONE } * site.slots
+
+    /** The slots that a scheduler without faults has. */
+    fun slots(): List<SlotsFrom> {
+        val all = SlotsFrom(at = Duration.ZERO, slots = site.allSlots)
+        if (scenario != TrialScenario.ZONE) return listOf(all)
+        return listOf(all, SlotsFrom(at = changeAt, slots = remainingSlots), SlotsFrom(at = returnAt, slots = site.allSlots))
+    }
+
     /** The jobs that arrive. */
     fun jobs(): List<JobPlan> =
         Workload(
@@ -44,8 +55,10 @@
             ),
         ).jobs()
 
-    private companion object {
-        val BURST_EVERY = 20.seconds
+    companion object {
+        /** The zone that leaves and returns. */
+        const val LEAVING_ZONE = 0
+        private val BURST_EVERY = 20.seconds
     }
 }
 
