Entry: placement policies, team quota, claim rounds within 1 s

Cause: the placement module brought queues with quotas, run time models and budgets; the members rely on majorities that are counted within 1 s under a live lease; an agent answers a cancel of a running attempt only when asked. Change: lanes made by Placement, a quota split over the live entries, deadline forecast, retry budget of the placement module, claim rounds that count no late verdict, inquiries for the attempts of a closing submission.

--- a/entry/src/main/kotlin/io/bluebellramp/entry/Admission.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/Admission.kt
@@ -2,12 +2,14 @@
 
 import io.bluebellramp.messages.ErrorBody
 import io.bluebellramp.messages.ErrorCode
+import io.bluebellramp.placement.DeadlineForecast
 import kotlin.time.Duration
 
 /** Decides whether an owned submission is queued or refused before anything of it starts. No I/O. */
 internal class Admission(
     private val lease: LeaseKeeper,
     private val dispatcher: Dispatcher,
+    private val teams: TeamLedger,
     private val queuedTasks: Int,
 ) {
     /** Returns why [submission] is refused, or null if it may be queued. */
@@ -19,23 +21,20 @@
         if (dispatcher.waiting + submission.size > queuedTasks) {
             return ErrorBody(ErrorCode.QUEUE_FULL, "The queue of this entry holds ${dispatcher.waiting} of $queuedTasks tasks.")
         }
-        return quota(submission) ?: estimate(submission, now)
+        return quota(submission) ?: forecast(submission)
     }
 
     private fun quota(submission: Submission): ErrorBody? {
         val team = submission.new.team ?: return null
         val limit = lease.team(team)?.queuedTasks ?: return null
-        val waiting = dispatcher.waiting(team)
+        val waiting = teams.waiting(team)
         if (waiting + submission.size <= limit) return null
         return ErrorBody(ErrorCode.QUOTA_EXCEEDED, "Team $team has $waiting tasks waiting and may have $limit.")
     }
 
-    private fun estimate(
-        submission: Submission,
-        now: Duration,
-    ): ErrorBody? {
-        val needed = dispatcher.shortestTime(submission) ?: return null
-        if (now + needed <= submission.deadline) return null
-        return ErrorBody(ErrorCode.DEADLINE_UNREACHABLE, "It needs at least ${needed.inWholeMilliseconds} ms with every slot for itself.")
+    private fun forecast(submission: Submission): ErrorBody? {
+        val forecast = dispatcher.forecast(submission)
+        if (forecast !is DeadlineForecast.Unreachable) return null
+        return ErrorBody(ErrorCode.DEADLINE_UNREACHABLE, "It needs at least ${forecast.estimate.inWholeMilliseconds} ms.")
     }
 }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/ClaimsClient.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/ClaimsClient.kt
@@ -1,6 +1,7 @@
 package io.bluebellramp.entry
 
 import io.bluebellramp.core.Address
+import io.bluebellramp.core.Clock
 import io.bluebellramp.core.SubmissionId
 import io.bluebellramp.messages.Claim
 import io.bluebellramp.messages.ClaimMembers
@@ -24,11 +25,13 @@
 import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Claims submissions at the voting members in batches: all that wait go in one call to each member. */
 internal class ClaimsClient(
     private val http: HttpClient,
     private val identity: EntryIdentity,
+    private val clock: Clock,
     private val shell: EntryShell,
 ) {
     private class Wanted(
@@ -67,7 +70,7 @@
         }
 
     private suspend fun claimAll(batch: List<Wanted>) {
-        val members = shell.use { lease.members }
+        val members = shell.use { now -> lease.members?.takeIf { lease.isLive(now) } }
         val tallies = batch.map { ClaimTally(members?.members?.size ?: 0, identity.incarnation) }
         val round = ClaimRound(batch, tallies)
         if (members == null || members.members.isEmpty()) {
@@ -75,11 +78,12 @@
             round.finishAll()
             return
         }
+        val sent = clock.monotonic()
         coroutineScope {
             members.members.forEach { member ->
                 launch {
                     val verdicts = ask(member.address, members, batch)
-                    shell.use { round.add(verdicts) }
+                    shell.use { now -> round.add(verdicts.takeIf { now - sent < ROUND }) }
                     round.deliver()
                 }
             }
@@ -198,6 +202,8 @@
     }
 
     private companion object {
+        /** Members rely on a majority that is counted within this time. */
+        val ROUND = 1.seconds
         const val MAX_BATCH = 1_000
         const val MAX_BATCHES = 4
         const val TRIES = 12
--- a/entry/src/main/kotlin/io/bluebellramp/entry/Dispatcher.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/Dispatcher.kt
@@ -2,7 +2,6 @@
 
 import io.bluebellramp.core.ServiceId
 import io.bluebellramp.core.SubmissionId
-import io.bluebellramp.core.TeamId
 import io.bluebellramp.messages.Demand
 import io.bluebellramp.messages.DispatchKind
 import io.bluebellramp.messages.ErrorBody
@@ -10,6 +9,7 @@
 import io.bluebellramp.messages.TaskOutcome
 import io.bluebellramp.messages.TaskStatus
 import io.bluebellramp.placement.CreditedTarget
+import io.bluebellramp.placement.DeadlineForecast
 import io.bluebellramp.placement.QueuedJob
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.microseconds
@@ -34,20 +34,18 @@
     private val lease: LeaseKeeper,
     private val agents: AgentDirectory,
     private val policies: PlacementPolicies,
+    private val teams: TeamLedger,
     private val counters: Counters,
     private val sink: ActionSink,
 ) : AgentListener {
     private val services = LinkedHashMap<ServiceId, ServiceLanes>()
     private val open = HashMap<SubmissionId, Submission>()
-    private val teamWaiting = HashMap<TeamId, Int>()
     private var now = Duration.ZERO
     lateinit var listener: SubmissionListener
 
     /** Tasks and requests that wait. */
     val waiting: Int get() = services.values.sumOf { it.waiting }
 
-    fun waiting(team: TeamId): Int = teamWaiting[team] ?: 0
-
     fun demand(service: ServiceId): Demand {
         val lanes = services[service] ?: return Demand(tasks = 0, tasksLeft = 0)
         val tasks = lanes.tasks.queue.demand(now)
@@ -61,16 +59,25 @@
         )
     }
 
-    /** The time that [submission] takes if every slot of the service runs it alone, or null if there is nothing to tell it from. */
-    fun shortestTime(submission: Submission): Duration? {
-        val service = submission.new.service
-        val mean = services[service]?.meanRun ?: return null
-        val executors = agents.connected.count { it.service == service && lease.isInService(it.zone, it.target?.target) }
-        val slots = executors * (lease.service(service)?.slots ?: 0)
-        if (slots == 0 || submission.new.kind == DispatchKind.REQUEST) return null
-        return mean * (submission.size / slots)
+    /** Tells whether [submission] can be answered before its deadline, as far as is known. */
+    fun forecast(submission: Submission): DeadlineForecast {
+        val lane = lane(submission)
+        return lane.model.forecast(
+            tasks = submission.size,
+            tasksAhead = lane.queue.tasksAhead(submission.size),
+            remaining = submission.deadline - now,
+        )
     }
 
+    /** Takes note of targets that came or went, and of changed limits. */
+    fun refreshSlots() =
+        services.forEach { (service, lanes) ->
+            val limits = lease.service(service) ?: return@forEach
+            val executors = agents.connected.count { it.service == service && lease.isInService(it.zone, it.target?.target) }
+            lanes.tasks.model.slots = executors * limits.slots
+            lanes.requests.model.slots = executors * limits.connections
+        }
+
     /** Sets the time for what follows. */
     fun advance(now: Duration) {
         this.now = now
@@ -79,7 +86,7 @@
     /** Adds an owned submission to its queue. */
     fun enqueue(submission: Submission) {
         open[submission.id] = submission
-        count(submission, submission.size)
+        teams.count(submission, waiting = submission.size)
         lane(submission).queue.add(
             QueuedJob(
                 submission = submission.id,
@@ -91,7 +98,7 @@
                 deadline = submission.deadline,
             ),
         )
-        if (submission.new.idempotent) lanes(submission.new.service).retries.earn(retryShare(submission) * submission.size)
+        if (submission.new.idempotent) repeat(submission.size) { retries(submission).requested() }
         run(submission.new.service)
         if (lane(submission).queue.waiting > 0) agents.wakeIdle(submission.new.service)
     }
@@ -99,7 +106,7 @@
     /** Drops what waits of [submission] and cancels what is in flight. */
     fun drop(submission: Submission) {
         if (open.remove(submission.id) == null) return
-        count(submission, -lane(submission).queue.remove(submission.id).size)
+        teams.count(submission, waiting = -lane(submission).queue.remove(submission.id).size)
         submission.outstanding.values
             .toList()
             .forEach(::cancel)
@@ -111,6 +118,7 @@
         if (!attempt.isSent && session.outbox.dispatches.remove(attempt)) {
             session.unresolved.remove(attempt.key)
             attempt.submission.outstanding.remove(attempt.task)
+            release(attempt)
             val pool = lane(attempt.submission).pool
             pool.notRun(attempt.target)
             pool.grant(target = attempt.target, zone = session.zone, credits = 1)
@@ -120,10 +128,24 @@
         agents.wake(session)
     }
 
+    /** The attempt holds its place in the queue's count and in the quota no longer. */
+    private fun release(attempt: Attempt) {
+        lane(attempt.submission).queue.ended(attempt.submission.id, attempt.task)
+        teams.count(attempt.submission, running = -1)
+    }
+
+    /** Asks the agents about the attempts of [submission] that are not known to have started. */
+    fun inquire(submission: Submission) =
+        submission.outstanding.values.filter { !submission.isStarted(it.task) }.forEach {
+            it.session.outbox.inquiries += it.reference
+            agents.wake(it.session)
+        }
+
     /** Places what can be placed. */
     fun runAll() = services.keys.forEach(::run)
 
-    private fun run(service: ServiceId) {
+    /** Places what can be placed of [service]. */
+    fun run(service: ServiceId) {
         if (!lease.isLive(now)) return
         val lanes = services[service] ?: return
         lanes.all.forEach { lane -> while (lane.queue.waiting > 0) if (!placeNext(lane)) break }
@@ -163,7 +185,7 @@
                 target = spent.target,
                 dispatched = now,
             )
-        count(submission, -1)
+        teams.count(submission, waiting = -1, running = 1)
         submission.outstanding[task] = attempt
         session.unresolved[attempt.key] = attempt
         session.outbox.dispatches += attempt
@@ -207,7 +229,7 @@
             return
         }
         submission.outstanding.remove(attempt.task)
-        settle(submission, attempt.task, outcome)
+        settle(attempt, outcome)
     }
 
     private fun account(
@@ -222,7 +244,6 @@
             }
 
             else -> {
-                if (outcome.status == TaskStatus.DONE) lanes(attempt.submission.new.service).learn(outcome.ranMicros.microseconds)
                 pool.ended(
                     target = attempt.target,
                     ran = outcome.ranMicros.microseconds,
@@ -234,40 +255,39 @@
     }
 
     private fun settle(
-        submission: Submission,
-        task: Int,
+        attempt: Attempt,
         outcome: TaskOutcome,
     ) {
+        val submission = attempt.submission
         when (outcome.status) {
-            TaskStatus.DONE -> submission.complete(task, outcome.result.orEmpty())
-            TaskStatus.ERROR -> submission.markStarted(task)
-            TaskStatus.UNKNOWN -> submission.markUnknown(task)
+            TaskStatus.DONE -> submission.complete(attempt.task, outcome.result.orEmpty())
+            TaskStatus.ERROR -> submission.markStarted(attempt.task)
+            TaskStatus.UNKNOWN -> submission.markUnknown(attempt.task)
             TaskStatus.NOT_RUN, TaskStatus.RUNNING -> Unit
         }
-        when (submission.phase) {
-            SubmissionPhase.OPEN -> proceed(submission, task, outcome)
-            SubmissionPhase.CLOSING -> listener.settled(submission)
-            else -> counters.waste(Waste.LATE_CANCEL)
-        }
+        if (submission.phase == SubmissionPhase.OPEN) return proceed(attempt, outcome)
+        release(attempt)
+        if (submission.phase == SubmissionPhase.CLOSING) listener.settled(submission) else counters.waste(Waste.LATE_CANCEL)
     }
 
     private fun proceed(
-        submission: Submission,
-        task: Int,
+        attempt: Attempt,
         outcome: TaskOutcome,
     ) {
-        when (outcome.status) {
-            TaskStatus.DONE -> {
-                lane(submission).queue.ended(submission.id, task)
+        val submission = attempt.submission
+        when {
+            outcome.status == TaskStatus.DONE -> {
+                release(attempt)
                 if (submission.isComplete) complete(submission)
             }
 
-            TaskStatus.NOT_RUN -> {
-                again(submission, task)
+            outcome.status == TaskStatus.NOT_RUN || mayRetry(submission, attempt.task) -> {
+                again(submission, attempt.task)
             }
 
             else -> {
-                if (mayRetry(submission, task)) again(submission, task) else listener.failed(submission, error(task, outcome, submission))
+                release(attempt)
+                listener.failed(submission, error(attempt.task, outcome, submission))
             }
         }
     }
@@ -283,7 +303,7 @@
         task: Int,
     ) {
         submission.attempts[task]++
-        count(submission, 1)
+        teams.count(submission, waiting = 1, running = -1)
         lane(submission).queue.giveBack(submission.id, task)
         run(submission.new.service)
     }
@@ -294,7 +314,7 @@
     ): Boolean {
         if (!submission.new.idempotent) return false
         val made = submission.retries[task] ?: 0
-        if (made >= MAX_RETRIES || !lanes(submission.new.service).retries.spend()) return false
+        if (made >= MAX_RETRIES || !retries(submission).tryRetry()) return false
         submission.retries[task] = made + 1
         counters.waste(Waste.RETRY)
         return true
@@ -361,7 +381,7 @@
         val submission = attempt.submission
         if (submission.outstanding[attempt.task] !== attempt) return
         submission.outstanding.remove(attempt.task)
-        settle(submission, attempt.task, attempt.outcome(status, reason))
+        settle(attempt, attempt.outcome(status, reason))
     }
 
     private fun Attempt.outcome(
@@ -369,18 +389,17 @@
         reason: String,
     ) = TaskOutcome(submission = submission.id, task = task, attempt = number, status = status, reason = reason)
 
-    private fun retryShare(submission: Submission) = lease.service(submission.new.service)?.retryShare ?: 0.0
+    private fun retries(submission: Submission) =
+        lanes(submission.new.service).retries(share = lease.service(submission.new.service)?.retryShare ?: 0.0)
 
-    private fun count(
-        submission: Submission,
-        change: Int,
-    ) {
-        val team = submission.new.team ?: return
-        val left = (teamWaiting[team] ?: 0) + change
-        if (left == 0) teamWaiting.remove(team) else teamWaiting[team] = left
-    }
+    private fun lanes(service: ServiceId) = services[service] ?: add(service)
 
-    private fun lanes(service: ServiceId) = services.getOrPut(service) { ServiceLanes(policies) }
+    private fun add(service: ServiceId): ServiceLanes {
+        val lanes = ServiceLanes(policies, teams)
+        services[service] = lanes
+        refreshSlots()
+        return lanes
+    }
 
     private fun lane(submission: Submission): Lane {
         val lanes = lanes(submission.new.service)
--- a/entry/src/main/kotlin/io/bluebellramp/entry/EntryCore.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/EntryCore.kt
@@ -17,7 +17,7 @@
 internal class EntryCore(
     private val identity: EntryIdentity,
     queuedTasks: Int,
-    policies: PlacementPolicies = BaselinePolicies,
+    policies: PlacementPolicies = DefaultPolicies,
 ) {
     private val sink = ActionSink()
     private val agents: AgentDirectory
@@ -33,8 +33,9 @@
 
     init {
         agents = AgentDirectory(identity, lease, sink)
-        dispatcher = Dispatcher(lease, agents, policies, counters, sink)
-        registry = SubmissionRegistry(lease, dispatcher, Admission(lease, dispatcher, queuedTasks), counters, sink)
+        val teams = TeamLedger(lease)
+        dispatcher = Dispatcher(lease, agents, policies, teams, counters, sink)
+        registry = SubmissionRegistry(lease, dispatcher, Admission(lease, dispatcher, teams, queuedTasks), counters, sink)
         agents.listener = dispatcher
         agents.demand = dispatcher::demand
         dispatcher.listener = registry
@@ -141,6 +142,7 @@
         if (!lease.renew(response, sent)) return
         wasLive = lease.isLive(now)
         agents.connected.filter { !lease.isInService(it.zone, it.target?.target) }.forEach { dispatcher.giveBack(it) }
+        dispatcher.refreshSlots()
         registry.tick()
         dispatcher.runAll()
     }
@@ -167,6 +169,7 @@
         }
         frame.recalled?.let { dispatcher.giveBack(session, it.slots, it.connections) }
         frame.credits?.let { dispatcher.grant(session, it.slots, it.connections) }
+        session.service?.let(dispatcher::run)
     }
 
     private fun replaceTarget(
@@ -175,6 +178,7 @@
     ) {
         if (session.target?.target != target.target || !target.present) dispatcher.dropCredits(session)
         session.target = target
+        dispatcher.refreshSlots()
         agents.wake(session)
     }
 
@@ -185,6 +189,7 @@
     ) {
         advance(now)
         agents.detach(link, now)
+        dispatcher.refreshSlots()
         dispatcher.runAll()
     }
 
@@ -202,6 +207,7 @@
         advance(now)
         agents.expire(now)
         registry.tick()
+        dispatcher.runAll()
         agents.wakeForNews()
     }
 
--- a/entry/src/main/kotlin/io/bluebellramp/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/EntryProgram.kt
@@ -27,7 +27,7 @@
     private val settings: EntrySettings,
     private val clock: Clock = SystemClock,
     registry: PrometheusRegistry = PrometheusRegistry(),
-    policies: PlacementPolicies = BaselinePolicies,
+    policies: PlacementPolicies = DefaultPolicies,
 ) : RunningProgram,
     EntryLinks,
     Health {
@@ -46,7 +46,7 @@
     private val shell = EntryShell(core, clock, scope)
     private val metrics = EntryMetrics(core, clock, registry)
     private val agents = AgentEndpoint(shell, metrics, scope)
-    private val claims = ClaimsClient(http, identity, shell)
+    private val claims = ClaimsClient(http, identity, clock, shell)
     private val peers = PeerClient(http, shell, scope)
     private val leases = LeaseClient(http, settings.controls, clock, shell)
     private val decisions = DecisionLog(settings.entry)
--- a/entry/src/main/kotlin/io/bluebellramp/entry/LeaseKeeper.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/LeaseKeeper.kt
@@ -8,6 +8,7 @@
 import io.bluebellramp.core.TeamId
 import io.bluebellramp.core.WireJson
 import io.bluebellramp.core.ZoneId
+import io.bluebellramp.core.mergePatch
 import io.bluebellramp.messages.ClaimMembers
 import io.bluebellramp.messages.Configuration
 import io.bluebellramp.messages.EntryPeer
--- a/entry/src/main/kotlin/io/bluebellramp/entry/PlacementPolicies.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/PlacementPolicies.kt
@@ -1,22 +1,29 @@
 package io.bluebellramp.entry
 
 import io.bluebellramp.placement.CreditPool
-import io.bluebellramp.placement.FirstComeQueue
 import io.bluebellramp.placement.JobQueue
-import io.bluebellramp.placement.LeastRunningPool
+import io.bluebellramp.placement.Placement
+import io.bluebellramp.placement.RunTimeModel
+import io.bluebellramp.placement.TeamQuota
 
-/** Makes the queue and the credits of a service. Each service has one pair for tasks and one for requests. */
+/** Makes the queues and the credits of a service. Each service has one pair for tasks and one for requests. */
 internal interface PlacementPolicies {
     /** Returns an empty queue. */
-    fun queue(): JobQueue
+    fun queue(
+        model: RunTimeModel,
+        quota: TeamQuota,
+    ): JobQueue
 
     /** Returns a pool without credits. */
-    fun pool(): CreditPool
+    fun pool(model: RunTimeModel): CreditPool
 }
 
-/** First come, first served, on the target with the fewest tasks of this entry. */
-internal object BaselinePolicies : PlacementPolicies {
-    override fun queue() = FirstComeQueue()
+/** The policies that [Placement] chose. */
+internal object DefaultPolicies : PlacementPolicies {
+    override fun queue(
+        model: RunTimeModel,
+        quota: TeamQuota,
+    ) = Placement.queue(model = model, quota = quota)
 
-    override fun pool() = LeastRunningPool()
+    override fun pool(model: RunTimeModel) = Placement.pool(model = model)
 }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/ServiceLanes.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/ServiceLanes.kt
@@ -2,34 +2,38 @@
 
 import io.bluebellramp.placement.CreditPool
 import io.bluebellramp.placement.JobQueue
-import kotlin.time.Duration
+import io.bluebellramp.placement.RetryBudget
+import io.bluebellramp.placement.RunTimeModel
+import io.bluebellramp.placement.TeamQuota
 
 /** What waits for a service and the credits against which it may start. */
 internal class Lane(
-    val queue: JobQueue,
-    val pool: CreditPool,
-)
+    policies: PlacementPolicies,
+    quota: TeamQuota,
+) {
+    val model = RunTimeModel()
+    val queue: JobQueue = policies.queue(model, quota)
+    val pool: CreditPool = policies.pool(model)
+}
 
 /** The two lanes of a service: tasks take slots, requests take connections. */
 internal class ServiceLanes(
     policies: PlacementPolicies,
+    quota: TeamQuota,
 ) {
-    val tasks = Lane(queue = policies.queue(), pool = policies.pool())
-    val requests = Lane(queue = policies.queue(), pool = policies.pool())
+    val tasks = Lane(policies, quota)
+    val requests = Lane(policies, quota)
     val all = listOf(tasks, requests)
-    val retries = RetryBudget()
     val waiting get() = all.sumOf { it.queue.waiting }
+    private var retryShare = 0.0
+    private var retries = RetryBudget(share = 0.0)
 
-    /** The moving mean of the run times, or null before the first. */
-    var meanRun: Duration? = null
-        private set
-
-    /** Takes the run time of one task. */
-    fun learn(ran: Duration) {
-        meanRun = meanRun?.let { it * (1 - WEIGHT) + ran * WEIGHT } ?: ran
-    }
-
-    private companion object {
-        const val WEIGHT = 0.02
+    /** The budget for retries, which are a [share] of the idempotent work. */
+    fun retries(share: Double): RetryBudget {
+        if (share != retryShare) {
+            retryShare = share
+            retries = RetryBudget(share)
+        }
+        return retries
     }
 }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/Submission.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/Submission.kt
@@ -42,6 +42,7 @@
     var refusal: ErrorBody? = null
     var closing: ErrorBody? = null
     var closingSince = Duration.ZERO
+    var isInquired = false
 
     /** An answer that waits until the claim is confirmed. */
     var pending: Answer? = null
@@ -72,7 +73,7 @@
         if (!started[task]) unknown.set(task)
     }
 
-    fun isDone(task: Int) = done[task]
+    fun isStarted(task: Int) = started[task]
 
     val isComplete get() = done.cardinality() == size
 
--- a/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionReader.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionReader.kt
@@ -178,8 +178,8 @@
         private const val MAX_DEADLINE_MILLIS = 600_000L
         private val ID = Regex("^[a-z0-9][a-z0-9.-]{0,62}$")
 
-        /** Less than the 10 min for which the members remember a claim, because clocks differ. */
-        private val OLDEST: Duration = Duration.ofMinutes(9)
+        /** The members remember a claim for longer than this after the time inside the id. */
+        private val OLDEST: Duration = Duration.ofMinutes(10)
         private val NEWEST: Duration = Duration.ofMinutes(1)
     }
 }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionRegistry.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionRegistry.kt
@@ -261,12 +261,21 @@
     fun tick() {
         val open = owned()
         if (lease.isLive(now)) open.filter { !it.isConfirmed && !it.isReclaiming }.forEach(::reclaim)
-        open.filter { isOverdue(it) }.forEach { answer(it) }
+        open.filter { isDue(it, INQUIRY_WAIT) && !it.isInquired }.forEach { inquire(it) }
+        open.filter { isDue(it, SETTLE_WAIT) }.forEach { answer(it) }
         open.filter { !it.isConfirmed && now > it.deadline + GRACE }.forEach { deliver(it, lost(it, "The claim could not be confirmed.")) }
     }
 
-    private fun isOverdue(submission: Submission) =
-        submission.phase == SubmissionPhase.CLOSING && submission.pending == null && now - submission.closingSince > SETTLE_WAIT
+    private fun isDue(
+        submission: Submission,
+        wait: Duration,
+    ) = submission.phase == SubmissionPhase.CLOSING && submission.pending == null && now - submission.closingSince > wait
+
+    /** An agent lets a cancelled attempt that has started run on, and says that it has started only when asked. */
+    private fun inquire(submission: Submission) {
+        submission.isInquired = true
+        dispatcher.inquire(submission)
+    }
 
     private fun reclaim(submission: Submission) {
         submission.isReclaiming = true
@@ -377,6 +386,9 @@
         /** How long an owner must be missing from the live entries before its submissions are taken over. */
         val OWNER_WAIT = 3.seconds
 
+        /** How long outcomes are waited for before the agents are asked. */
+        val INQUIRY_WAIT = 20.milliseconds
+
         /** How long the outcomes of cancelled attempts are waited for. */
         val SETTLE_WAIT = 1.seconds
 
