--- a/cli/src/main/kotlin/io/bluebellramp/cli/SessionResult.kt
+++ b/cli/src/main/kotlin/io/bluebellramp/cli/SessionResult.kt
@@ -25,7 +25,7 @@
             json: Boolean,
         ): SessionResult =
             try {
-                val key = SharedKey.read(settings.keyFile, LOOPBACK)
+                val key = settings.keyFile?.let { SharedKey.read(it, LOOPBACK) }
                 Open(Session(http = httpLink(key), settings = settings, output = Output(json)))
             } catch (e: Exception) {
                 Invalid("key file: ${e.message}")
--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/SharedKey.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/SharedKey.kt
@@ -1,5 +1,6 @@
 package io.bluebellramp.runtime
 
+import org.tinylog.kotlin.Logger
 import java.nio.file.Files
 import java.nio.file.Path
 import java.nio.file.attribute.PosixFilePermission
@@ -37,6 +38,7 @@
         ): SharedKey? {
             if (file == null) {
                 require(isLoopback(listenHost)) { "keyFile is required unless the process listens on loopback; it listens on $listenHost" }
+                Logger.warn("authentication is off, because there is no keyFile and the process listens on loopback only")
                 return null
             }
             val path = Path.of(file)
