A call whose answer is held is not cut

Cause: the engine's read timeout answers 408 to a call whose client rightly sends nothing while it waits for the answer: any job of more than 10 s would have been cut. Ruled out: a longer timeout; it would only move the cut. Change: no read timeout of the engine; routes bound the time in which they read a body.

--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/HttpServer.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/HttpServer.kt
@@ -37,12 +37,12 @@
 /** Paths that need no key: health, metrics and the callers' API. */
 private val openPaths = listOf("/live", "/ready", "/metrics", "/v1/jobs", "/v1/requests", "/v1/target")
 private const val MAX_FRAME_BYTES = 16L * 1024 * 1024
-private const val REQUEST_READ_SECONDS = 10
 
 /**
  * Returns an HTTP server for [routes] with JSON bodies, WebSockets, `/live`, `/ready` and `/metrics`. It is not started.
  *
- * The server cuts nothing by itself on a signal; stop it when all work in flight is done.
+ * The server cuts nothing by itself on a signal; stop it when all work in flight is done. It has no read timeout, since the engine's
+ * also cuts calls whose answer is held; routes bound the time in which they read a body.
  *
  * @param key if not null, calls other than to health, metrics and the callers' API must carry it
  */
@@ -61,7 +61,6 @@
                 host = listen.host
                 port = listen.port
             }
-            requestReadTimeoutSeconds = REQUEST_READ_SECONDS
             tcpKeepAlive = true
         },
     ) {
