Replicated log: core, files and a member that runs

The interface of the log had no implementation.

VoteRequest and VoteResponse get an optional field each, so that founding members can learn from each other whether the cluster exists already: a member with an emptied folder never votes.

Ruled out: a replacement by two single changes, since four voters of which one is dead leave no spare member in between; a single record with plain majorities, since the majorities before and after need not overlap.

--- a/messages/src/main/kotlin/io/bluebellramp/messages/VoteRequest.kt
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/VoteRequest.kt
@@ -15,4 +15,6 @@
     val lastTerm: Long,
     /** True for a trial that changes no state. */
     val preVote: Boolean,
+    /** True if it asks for the founding stage only and for no vote. */
+    val founding: Boolean = false,
 )
--- a/messages/src/main/kotlin/io/bluebellramp/messages/VoteResponse.kt
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/VoteResponse.kt
@@ -9,4 +9,6 @@
     val term: Long,
     /** True if it votes for the candidate. */
     val granted: Boolean,
+    /** Founding stage of the member. 0 is new; 1 knows that all others were new; 2 takes part. */
+    val stage: Int = 0,
 )
--- /dev/null
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/SyncedFiles.kt
@@ -0,0 +1,43 @@
+package io.bluebellramp.replication
+
+import java.nio.ByteBuffer
+import java.nio.channels.FileChannel
+import java.nio.file.Files
+import java.nio.file.Path
+import java.nio.file.StandardCopyOption
+import java.nio.file.StandardOpenOption.CREATE
+import java.nio.file.StandardOpenOption.READ
+import java.nio.file.StandardOpenOption.TRUNCATE_EXISTING
+import java.nio.file.StandardOpenOption.WRITE
+
+/** Writes files of one folder so that they are durable when a call returns. */
+internal class SyncedFiles(
+    private val folder: Path,
+) {
+    /** Replaces [name] by a file with [content], whole or not at all. */
+    fun replace(
+        name: String,
+        content: ByteBuffer,
+    ) {
+        val draft = folder.resolve("$name.tmp")
+        FileChannel.open(draft, CREATE, WRITE, TRUNCATE_EXISTING).use {
+            writeAll(it, content)
+            it.force(true)
+        }
+        Files.move(draft, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING)
+        syncFolder()
+    }
+
+    /** Makes the names in the folder durable. */
+    fun syncFolder() = FileChannel.open(folder, READ).use { it.force(true) }
+
+    companion object {
+        /** Writes all of [content] at the position of [channel]. */
+        fun writeAll(
+            channel: FileChannel,
+            content: ByteBuffer,
+        ) {
+            while (content.hasRemaining()) channel.write(content)
+        }
+    }
+}
--- /dev/null
+++ b/replication/src/test/kotlin/io/bluebellramp/replication/FileCluster.kt
@@ -0,0 +1,106 @@
+package io.bluebellramp.replication
+
+import io.bluebellramp.core.Address
+import io.bluebellramp.core.MemberId
+import io.bluebellramp.core.SystemClock
+import io.bluebellramp.messages.AppendRequest
+import io.bluebellramp.messages.MemberAddress
+import io.bluebellramp.messages.SnapshotRequest
+import io.bluebellramp.messages.VoteRequest
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeout
+import java.nio.file.Path
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Returns the address of the member [name]. */
+internal fun address(name: String) = MemberAddress(MemberId(name), Address("127.0.0.1:${7000 + name.first().code}"))
+
+/** A state machine that keeps all commands. */
+internal class ListMachine : StateMachine {
+    val commands = ArrayList<String>()
+
+    override fun apply(
+        index: Long,
+        command: String,
+    ): String {
+        commands += command
+        return "${commands.size}:$command"
+    }
+
+    override fun snapshot() = commands.joinToString("\n")
+
+    override fun restore(snapshot: String) {
+        commands.clear()
+        if (snapshot.isNotEmpty()) commands += snapshot.split("\n")
+    }
+}
+
+/** Members with real files in one process, joined by direct calls. */
+internal class FileCluster(
+    private val root: Path,
+    private val settings: LogSettings = LogSettings(electionMillis = 150, heartbeatMillis = 30, snapshotRecords = 50),
+    private val listener: LogListener = object : LogListener {},
+) : LogTransport {
+    private val founding = listOf("a", "b", "c").map(::address)
+    val members = ConcurrentHashMap<MemberId, LogMember>()
+    val machines = ConcurrentHashMap<String, ListMachine>()
+
+    fun folder(name: String): Path = root.resolve(name)
+
+    suspend fun start(
+        name: String,
+        joining: Boolean = false,
+    ): LogMember {
+        val machine = ListMachine()
+        val member = LogMember(address(name), founding, joining, folder(name), machine, this, SystemClock, settings, listener)
+        assertEquals(LogStart.Started, member.start())
+        members[MemberId(name)] = member
+        machines[name] = machine
+        return member
+    }
+
+    fun stop(name: String) = members.remove(MemberId(name))?.close()
+
+    fun stopAll() = members.keys.toList().forEach { stop(it.value) }
+
+    suspend fun leader(): LogMember =
+        eventually("a leader") {
+            members.values.find { it.holdsMajority() }
+        }
+
+    /** Proposes until it is applied. */
+    suspend fun propose(command: String): ProposalResult.Applied =
+        eventually(command) { leader().propose(command) as? ProposalResult.Applied }
+
+    suspend fun <T> eventually(
+        what: String,
+        probe: suspend () -> T?,
+    ): T {
+        var found: T? = null
+        withTimeout(20.seconds) {
+            while (found == null) {
+                found = probe()
+                if (found == null) delay(5.milliseconds)
+            }
+        }
+        return checkNotNull(found) { what }
+    }
+
+    override suspend fun vote(
+        to: MemberAddress,
+        request: VoteRequest,
+    ) = members[to.member]?.onVote(request)
+
+    override suspend fun append(
+        to: MemberAddress,
+        request: AppendRequest,
+    ) = members[to.member]?.onAppend(request)
+
+    override suspend fun snapshot(
+        to: MemberAddress,
+        request: SnapshotRequest,
+    ) = members[to.member]?.onSnapshot(request)
+}
--- /dev/null
+++ b/replication/src/test/kotlin/io/bluebellramp/replication/LogMemberTest.kt
@@ -0,0 +1,143 @@
+package io.bluebellramp.replication
+
+import io.bluebellramp.core.MemberId
+import io.bluebellramp.core.SystemClock
+import io.bluebellramp.messages.MembershipAction
+import io.bluebellramp.messages.MembershipRequest
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.io.TempDir
+import java.nio.file.Path
+import kotlin.io.path.ExperimentalPathApi
+import kotlin.io.path.deleteRecursively
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+class LogMemberTest {
+    @TempDir
+    lateinit var root: Path
+
+    private val cluster by lazy { FileCluster(root) }
+
+    @AfterEach
+    fun stop() = cluster.stopAll()
+
+    private suspend fun startAll() = listOf("a", "b", "c").forEach { cluster.start(it) }
+
+    private fun replace(
+        old: String,
+        new: String,
+    ) = MembershipRequest(MembershipAction.REPLACE, MemberId(new), address(new).address, MemberId(old))
+
+    @Nested
+    inner class `three new members` {
+        @Test
+        fun `elect a leader and apply proposals in order`() =
+            runBlocking {
+                startAll()
+                assertEquals("1:x", cluster.propose("x").answer)
+                assertEquals("2:y", cluster.propose("y").answer)
+            }
+
+        @Test
+        fun `apply many concurrent proposals once each`() =
+            runBlocking {
+                startAll()
+                val leader = cluster.leader()
+                val results = (1..200).map { async { leader.propose("c$it") } }.awaitAll()
+                assertEquals(
+                    200,
+                    results
+                        .filterIsInstance<ProposalResult.Applied>()
+                        .map { it.answer }
+                        .toSet()
+                        .size,
+                )
+            }
+
+        @Test
+        fun `keep everything accepted across a restart of all`() =
+            runBlocking {
+                startAll()
+                repeat(120) { cluster.propose("c$it") }
+                cluster.stopAll()
+                startAll()
+                assertEquals("121:after", cluster.propose("after").answer)
+            }
+
+        @Test
+        fun `tell a proposer who leads`() =
+            runBlocking {
+                startAll()
+                val leader = cluster.leader()
+                val follower = cluster.members.values.first { it !== leader }
+                val found = cluster.eventually("leader known") { (follower.propose("x") as? ProposalResult.NotLeader)?.leader }
+                assertEquals(leader, cluster.members[found.member])
+            }
+    }
+
+    @Nested
+    inner class `a lost folder` {
+        @OptIn(ExperimentalPathApi::class)
+        @Test
+        fun `is replaced under a new id, and then a second member may be lost`() =
+            runBlocking {
+                startAll()
+                repeat(70) { cluster.propose("c$it") }
+                val lost =
+                    cluster.members.keys
+                        .first { cluster.members[it] !== cluster.leader() }
+                        .value
+                cluster.stop(lost)
+                cluster.folder(lost).deleteRecursively()
+                cluster.start(lost)
+                cluster.start("d", joining = true)
+                assertIs<ProposalResult.Applied>(cluster.leader().changeMembership(replace(lost, "d")))
+                assertEquals(
+                    0,
+                    cluster.members
+                        .getValue(MemberId(lost))
+                        .status()
+                        .term,
+                )
+                cluster.stop(
+                    cluster.members.entries
+                        .first { it.value === cluster.leader() }
+                        .key.value,
+                )
+                assertEquals("71:after", cluster.propose("after").answer)
+                val again =
+                    cluster.leader().changeMembership(
+                        MembershipRequest(MembershipAction.ADD, MemberId(lost), address(lost).address),
+                    )
+                assertTrue("retired" in assertIs<ProposalResult.Refused>(again).reason)
+            }
+    }
+
+    @Nested
+    inner class `a data folder` {
+        @Test
+        fun `of another member is refused`() =
+            runBlocking {
+                cluster.start("a")
+                cluster.stop("a")
+                val other = LogMember(address("b"), listOf(address("b")), false, cluster.folder("a"), ListMachine(), cluster, SystemClock)
+                assertIs<StorageError.OtherMember>(assertIs<LogStart.Refused>(other.start()).error)
+                Unit
+            }
+
+        @Test
+        fun `in use is refused`() =
+            runBlocking {
+                cluster.start("a")
+                val other = LogMember(address("a"), listOf(address("a")), false, cluster.folder("a"), ListMachine(), cluster, SystemClock)
+                assertIs<StorageError.Locked>(assertIs<LogStart.Refused>(other.start()).error)
+                Unit
+            }
+    }
+}
