--- a/replication/src/main/kotlin/io/bluebellramp/replication/Follower.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/Follower.kt
@@ -1,9 +1,12 @@
 package io.bluebellramp.replication
 
+import io.bluebellramp.core.WireJson
 import io.bluebellramp.messages.AppendRequest
 import io.bluebellramp.messages.AppendResponse
 import io.bluebellramp.messages.LogRecord
 import io.bluebellramp.messages.MemberAddress
+import io.bluebellramp.messages.Membership
+import io.bluebellramp.messages.RecordKind
 import io.bluebellramp.messages.SnapshotRequest
 import io.bluebellramp.messages.SnapshotResponse
 import kotlin.time.Duration
@@ -24,7 +27,11 @@
         call: Long,
         request: AppendRequest,
     ) {
-        if (isSilent(now, request.leader)) return reply(call, AppendResponse(0, NO_ROUND, accepted = false, lastIndex = 0))
+        if (isSilent(now, request.leader) ||
+            hasLost(request.records)
+        ) {
+            return reply(call, AppendResponse(0, NO_ROUND, accepted = false, lastIndex = 0))
+        }
         if (request.term < state.term) return reject(call, request, log.lastIndex)
         hear(now, request.term, request.leader)
         val retryFrom = mismatch(request)
@@ -40,7 +47,11 @@
         call: Long,
         request: SnapshotRequest,
     ) {
-        if (isSilent(now, request.leader)) return reply(call, SnapshotResponse(0, NO_ROUND, 0, installed = false))
+        if (isSilent(now, request.leader) ||
+            hasLost(request.membership)
+        ) {
+            return reply(call, SnapshotResponse(0, NO_ROUND, 0, installed = false))
+        }
         if (request.term < state.term) return reply(call, SnapshotResponse(state.term, request.round, 0, installed = false))
         hear(now, request.term, request.leader)
         val isInstalled = request.lastIndex <= state.commitIndex || collect(request)
@@ -60,6 +71,12 @@
         return !state.isActive
     }
 
+    private fun hasLost(records: List<LogRecord>) =
+        log.isEmpty && records.any { it.kind == RecordKind.MEMBERSHIP && hasLost(WireJson.decodeFromString<Membership>(it.body)) }
+
+    /** Tells whether this folder is empty though its member votes. A new member is made a voter only after it held records. */
+    private fun hasLost(membership: Membership) = log.isEmpty && membership.voters.any { it.member == state.id }
+
     private fun hear(
         now: Duration,
         term: Long,
--- a/replication/src/main/kotlin/io/bluebellramp/replication/Founding.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/Founding.kt
@@ -61,11 +61,15 @@
     }
 
     private fun activate() {
+        if (state.log.isEmpty) found()
+        state.save(state.vote.copy(stage = FoundingStage.ACTIVE))
+    }
+
+    private fun found() {
         val members = Membership(FIRST_INDEX, founding.sortedBy { it.member.value }, emptyList(), emptyList())
         val record = LogRecord(FIRST_INDEX, 0, RecordKind.MEMBERSHIP, WireJson.encodeToString(members))
         state.log.append(listOf(record))
         state.outbox.write(StorageWrite.Append(listOf(record)))
-        state.save(state.vote.copy(stage = FoundingStage.ACTIVE))
     }
 
     private companion object {
--- a/replication/src/main/kotlin/io/bluebellramp/replication/Leader.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/Leader.kt
@@ -132,6 +132,7 @@
         known: Progress,
         match: Long,
     ) {
+        known.isEmpty = false
         known.match = maxOf(known.match, match)
         known.next = maxOf(known.next, known.match + 1)
     }
@@ -183,7 +184,7 @@
             known.offset = 0
         }
         val start = minOf(known.offset, snapshot.body.length)
-        val end = minOf(start + PART_CHARACTERS, snapshot.body.length)
+        val end = minOf(start + state.settings.snapshotPart, snapshot.body.length)
         val part = snapshot.body.substring(start, end)
         val isLast = end == snapshot.body.length
         val request =
@@ -215,9 +216,8 @@
         request: AppendRequest,
         response: AppendResponse,
     ): Boolean {
-        if (request.previousIndex <= known.match) return false
         known.isEmpty = response.lastIndex == 0L && isVoter(from.member)
-        if (known.isEmpty) return false
+        if (known.isEmpty || request.previousIndex <= known.match) return false
         known.next = maxOf(known.match + 1, minOf(request.previousIndex, response.lastIndex + 1))
         return true
     }
@@ -242,8 +242,5 @@
     private companion object {
         const val MOST_RECORDS = 512
         const val MOST_ROUNDS = 4096
-
-        /** Length of a part of a snapshot (characters). */
-        const val PART_CHARACTERS = 65_536
     }
 }
--- a/replication/src/main/kotlin/io/bluebellramp/replication/LogMember.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/LogMember.kt
@@ -103,7 +103,6 @@
 
             is StorageOpening.Opened -> {
                 run(opening.state)
-                LogStart.Started
             }
         }
 
@@ -141,9 +140,21 @@
         return response?.body ?: SnapshotResponse(0, 0, 0, installed = false)
     }
 
-    private fun run(stored: StoredState) {
+    private suspend fun run(stored: StoredState): LogStart {
         val random = Random(Random.nextLong())
         val core = RaftCore(self, founding, joining, settings, machine, stored, random, clock.monotonic())
+        val first = core.take(clock.monotonic())
+        val error = withContext(disk) { storage.persist(first.writes) }
+        if (error != null) {
+            close()
+            return LogStart.Refused(error)
+        }
+        core.onSynced(first.number)
+        launchAll(core)
+        return LogStart.Started
+    }
+
+    private fun launchAll(core: RaftCore) {
         scope.launch {
             try {
                 drive(core)
--- a/replication/src/main/kotlin/io/bluebellramp/replication/LogSettings.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/LogSettings.kt
@@ -9,11 +9,13 @@
  * @property electionMillis shortest time without a leader before an election (ms)
  * @property heartbeatMillis time between heartbeats of the leader (ms)
  * @property snapshotRecords applied records after which a snapshot replaces them
+ * @property snapshotPart longest part of a snapshot in one message (characters)
  */
 data class LogSettings(
     val electionMillis: Long = 400,
     val heartbeatMillis: Long = 80,
     val snapshotRecords: Int = 2000,
+    val snapshotPart: Int = 65_536,
 ) {
     internal val election: Duration get() = electionMillis.milliseconds
 
--- a/replication/src/main/kotlin/io/bluebellramp/replication/MemberState.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/MemberState.kt
@@ -92,8 +92,9 @@
         outbox.finish(proposal, ProposalResult.Applied(record.index, answer))
     }
 
+    /** A change of the voters that is not confirmed stays in the log: a snapshot would hide that it needs both majorities. */
     private fun compact() {
-        if (appliedIndex - log.snapshotIndex < settings.snapshotRecords) return
+        if (log.isJoint || appliedIndex - log.snapshotIndex < settings.snapshotRecords) return
         val term = checkNotNull(log.termAt(appliedIndex))
         val snapshot = StoredSnapshot(appliedIndex, term, log.membershipAt(appliedIndex), machine.snapshot())
         log.restart(snapshot)
--- a/replication/src/main/kotlin/io/bluebellramp/replication/RaftCore.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/RaftCore.kt
@@ -29,6 +29,10 @@
     private val changes = MembershipChanges(state, leader)
     private val bootstrap = Founding(state, founding)
 
+    val role get() = state.role
+    val term get() = state.term
+    val stage get() = state.vote.stage
+
     init {
         if (stored.vote == null) initialize(joining)
         if (!state.isVoter) state.role = Role.LEARNER
--- a/replication/src/test/kotlin/io/bluebellramp/replication/FileCluster.kt
+++ b/replication/src/test/kotlin/io/bluebellramp/replication/FileCluster.kt
@@ -16,7 +16,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Returns the address of the member [name]. */
-internal fun address(name: String) = MemberAddress(MemberId(name), Address("127.0.0.1:${7000 + name.first().code}"))
+internal fun address(name: String) = MemberAddress(MemberId(name), Address("127.0.0.1:${7000 + name.sumOf { it.code }}"))
 
 /** A state machine that keeps all commands. */
 internal class ListMachine : StateMachine {
