--- a/control/src/main/kotlin/io/bluebellramp/control/ClaimGap.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ClaimGap.kt
@@ -44,7 +44,13 @@
 
     /** Members whose copies would help. Copies count only once the rounds that counted forgotten grants are over. */
     fun missing(): Set<MemberId> =
-        if (isClosed() || clock.monotonic() < started + ClaimTable.CLAIM_ROUND) emptySet() else memberships.last() - known - self
+        if (isClosed() ||
+            clock.monotonic() < started + ClaimTable.CLAIM_ROUND
+        ) {
+            emptySet()
+        } else {
+            memberships.lastOrNull().orEmpty() - known - self
+        }
 
     /** Notes [voters]; grants that were counted among the old ones stay possible for ids made up to [floor]. */
     fun open(
--- a/control/src/main/kotlin/io/bluebellramp/control/ClaimTable.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ClaimTable.kt
@@ -1,7 +1,6 @@
 package io.bluebellramp.control
 
 import io.bluebellramp.core.Clock
-import io.bluebellramp.core.IncarnationId
 import io.bluebellramp.core.MemberId
 import io.bluebellramp.core.SubmissionId
 import io.bluebellramp.messages.Claim
@@ -10,6 +9,7 @@
 import io.bluebellramp.messages.ClaimRequest
 import io.bluebellramp.messages.ClaimResponse
 import io.bluebellramp.messages.ClaimVerdict
+import io.bluebellramp.messages.HeldClaim
 import java.time.Instant
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -71,7 +71,7 @@
             if (request.membership == version &&
                 self in voters
             ) {
-                request.claims.map { judge(it, request.holder) }
+                request.claims.map { judge(it, request.holder, request.sequence) }
             } else {
                 emptyList()
             }
@@ -80,7 +80,7 @@
 
     /** Gives up the claims of [release] that its incarnation holds here. */
     fun release(release: ClaimRelease) {
-        release.submissions.forEach { release(ClaimKey.of(it), release.incarnation) }
+        release.submissions.forEach { release(ClaimKey.of(it), release) }
     }
 
     /** Returns a copy of the claims of [group] (see [groups]), or of all if it is null, complete if it is good enough for [need]. */
@@ -110,9 +110,7 @@
         copies: List<ClaimCopy>,
     ): Boolean {
         if (member !in missing() || copies.any { !it.complete || it.membership < version }) return false
-        copies.forEach { copy ->
-            copy.claims.forEach { merge(ClaimKey.of(it.submission), StoredClaim(digestOf(it.digest), shared(it.holder))) }
-        }
+        copies.flatMap { it.claims }.forEach(::merge)
         gap.copied(member)
         return true
     }
@@ -120,28 +118,28 @@
     private fun judge(
         claim: Claim,
         holder: ClaimHolder,
+        sequence: Long,
     ): ClaimVerdict {
-        if (!isJudged(claim.submission)) return ClaimVerdict(granted = false)
+        val digest = ClaimDigest.parse(claim.digest)
+        if (digest == null || !isJudged(claim.submission)) return ClaimVerdict(granted = false)
         val key = ClaimKey.of(claim.submission)
-        val digest = ClaimDigest.parse(claim.digest) ?: return ClaimVerdict(granted = false)
         val held = store[key]
-        if (held == null) {
-            store[key] = StoredClaim(digest, shared(holder))
-            return granted(digest, holder)
-        }
-        if (held.rivals != null) return ClaimVerdict(granted = false)
-        if (held.digest == digest && held.holder.incarnation == holder.incarnation) return granted(digest, holder)
-        if (held.digest == digest && held.holder.incarnation == claim.takeover) {
-            store[key] = StoredClaim(digest, shared(holder))
-            return granted(digest, holder)
-        }
-        return ClaimVerdict(granted = false, holder = held.holder, digest = held.digest.hex())
+        val asked = StoredClaim(digest, shared(holder), sequence, isTakenOver = claim.takeover != null)
+        val granted =
+            when {
+                held == null -> asked
+                held.rivals != null || held.isLost(asked) -> return ClaimVerdict(granted = false)
+                held.digest != digest -> null
+                held.holder.incarnation == holder.incarnation -> held.again(asked)
+                held.holder.incarnation == claim.takeover -> asked
+                else -> null
+            } ?: return ClaimVerdict(granted = false, holder = held?.holder, digest = held?.digest?.hex())
+        store[key] = granted
+        return ClaimVerdict(granted = true, holder = holder, digest = claim.digest)
     }
 
-    private fun granted(
-        digest: ClaimDigest,
-        holder: ClaimHolder,
-    ) = ClaimVerdict(granted = true, holder = holder, digest = digest.hex())
+    /** Tells whether [asked] is its holder's claim to own what it only took over. */
+    private fun StoredClaim.isLost(asked: StoredClaim) = isTakenOver && !asked.isTakenOver && holder.incarnation == asked.holder.incarnation
 
     /** An id that is expired, from the future, or older than what this member may have forgotten gets no verdict. */
     private fun isJudged(id: SubmissionId): Boolean {
@@ -154,20 +152,15 @@
 
     private fun release(
         key: ClaimKey,
-        incarnation: IncarnationId,
+        release: ClaimRelease,
     ) {
-        val held = store[key] ?: return
-        val left = held.all().filter { it.holder.incarnation != incarnation }
-        when (left.size) {
-            0 -> store.remove(key)
-            else -> store[key] = StoredClaim(left[0].digest, left[0].holder, left.drop(1).ifEmpty { null })
-        }
+        val left = store[key]?.release(release.incarnation, release.sequence)
+        if (left == null) store.remove(key) else store[key] = left
     }
 
-    private fun merge(
-        key: ClaimKey,
-        claim: StoredClaim,
-    ) {
+    private fun merge(held: HeldClaim) {
+        val key = ClaimKey.of(held.submission)
+        val claim = StoredClaim(digestOf(held.digest), shared(held.holder), held.sequence, held.takenOver)
         store[key] = store[key]?.merge(claim) ?: claim
     }
 
--- a/control/src/main/kotlin/io/bluebellramp/control/StoredClaim.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/StoredClaim.kt
@@ -1,5 +1,6 @@
 package io.bluebellramp.control
 
+import io.bluebellramp.core.IncarnationId
 import io.bluebellramp.core.SubmissionId
 import io.bluebellramp.messages.ClaimHolder
 import io.bluebellramp.messages.HeldClaim
@@ -59,23 +60,45 @@
 /**
  * A claim as a member holds it.
  *
+ * @property sequence last round of the holder in which it was granted
+ * @property isTakenOver true if the holder took it over from an entry that is gone, and so must never start anything
  * @property rivals other claims of the same submission that members of the cluster are known to have granted. While there are
  *   any, the member cannot tell whose claim it granted before it forgot, so it grants none.
  */
 internal class StoredClaim(
     val digest: ClaimDigest,
     val holder: ClaimHolder,
+    val sequence: Long,
+    val isTakenOver: Boolean,
     val rivals: List<StoredClaim>? = null,
 ) {
-    /** This claim and its rivals. */
-    fun all(): List<StoredClaim> = listOf(StoredClaim(digest, holder)) + rivals.orEmpty()
+    /** This claim and its rivals, each alone. */
+    fun all(): List<StoredClaim> = listOf(with(rivals = null)) + rivals.orEmpty()
 
-    /** Returns the claim with [other] as a rival, unless it is the same claim. */
+    /** Returns this claim with what [other] adds, as a rival unless it is the same claim. */
     fun merge(other: StoredClaim): StoredClaim {
-        if (all().any { it.holder.incarnation == other.holder.incarnation && it.digest == other.digest }) return this
-        return StoredClaim(digest, holder, rivals.orEmpty() + other)
+        val claims = all()
+        val same = claims.indexOfFirst { it.holder.incarnation == other.holder.incarnation && it.digest == other.digest }
+        val merged = if (same < 0) claims + other else claims.mapIndexed { i, claim -> if (i == same) claim.again(other) else claim }
+        return of(merged)!!
     }
 
+    /** Returns what is left when [incarnation] gives up its rounds up to [sequence], or null. A takeover is for good. */
+    fun release(
+        incarnation: IncarnationId,
+        sequence: Long,
+    ): StoredClaim? = of(all().filter { it.isTakenOver || it.holder.incarnation != incarnation || it.sequence > sequence })
+
+    /** Returns this claim, granted again as [other]. */
+    fun again(other: StoredClaim) = StoredClaim(digest, holder, maxOf(sequence, other.sequence), isTakenOver || other.isTakenOver, rivals)
+
     /** Returns the claim as a message. */
-    fun held(key: ClaimKey) = HeldClaim(submission = key.submission(), digest = digest.hex(), holder = holder)
+    fun held(key: ClaimKey) =
+        HeldClaim(submission = key.submission(), digest = digest.hex(), holder = holder, sequence = sequence, takenOver = isTakenOver)
+
+    private fun with(rivals: List<StoredClaim>?) = StoredClaim(digest, holder, sequence, isTakenOver, rivals)
+
+    private companion object {
+        fun of(claims: List<StoredClaim>): StoredClaim? = claims.firstOrNull()?.with(claims.drop(1).ifEmpty { null })
+    }
 }
--- a/messages/src/main/kotlin/io/bluebellramp/messages/ClaimRelease.kt
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/ClaimRelease.kt
@@ -10,4 +10,6 @@
     val incarnation: IncarnationId,
     /** The submissions. */
     val submissions: List<SubmissionId>,
+    /** The last round that is given up, so that a late release does not end a later claim. */
+    val sequence: Long = 0,
 )
--- a/messages/src/main/kotlin/io/bluebellramp/messages/ClaimRequest.kt
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/ClaimRequest.kt
@@ -10,4 +10,6 @@
     val holder: ClaimHolder,
     /** The claims. */
     val claims: List<Claim>,
+    /** Number of the round at the entry, which grows with each. */
+    val sequence: Long = 0,
 )
--- a/messages/src/main/kotlin/io/bluebellramp/messages/HeldClaim.kt
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/HeldClaim.kt
@@ -10,4 +10,8 @@
     /** SHA-256 of the body in hex. */
     val digest: String,
     val holder: ClaimHolder,
+    /** Last round in which it was granted. */
+    val sequence: Long = 0,
+    /** True if the holder took it over from an entry that is gone. It never starts anything. */
+    val takenOver: Boolean = false,
 )
