--- a/agent/src/main/kotlin/io/bluebellramp/agent/PermitHolder.kt
+++ b/agent/src/main/kotlin/io/bluebellramp/agent/PermitHolder.kt
@@ -30,10 +30,13 @@
     private val sent = ArrayDeque<Sent>()
     private var sequence = 0L
     private var held: Permit? = null
-    private var heldUntil = ZERO
     private var preferred: ConnectionId? = null
     private var answered = false
 
+    /** End of the permit on the monotonic clock. */
+    var heldUntil = ZERO
+        private set
+
     /** The highest revision seen in a permit. */
     var revision = Revision.ZERO
         private set
