--- a/entry/src/main/kotlin/io/bluebellramp/entry/ClaimResult.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/ClaimResult.kt
@@ -13,9 +13,14 @@
         val digest: String,
     ) : ClaimResult
 
-    /** Each claimant blocks the other and this entry has precedence: try again. */
-    data object Split : ClaimResult
+    /** Each claimant blocks the other. This entry has precedence and tries again, unless the other stays. */
+    data class Split(
+        val other: Held,
+    ) : ClaimResult
 
     /** No majority answered in one version of the membership. */
     data object Unavailable : ClaimResult
+
+    /** True if another try may bring another result. */
+    val isOpen get() = this is Split || this is Unavailable
 }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/ClaimTally.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/ClaimTally.kt
@@ -45,7 +45,7 @@
     private fun withoutMajority(): ClaimResult {
         val first = refusals.minByOrNull { it.holder!!.incarnation.value } ?: return ClaimResult.Unavailable
         val yields = granted == 0 || self.value > first.holder!!.incarnation.value
-        return if (yields) held(first) else ClaimResult.Split
+        return if (yields) held(first) else ClaimResult.Split(held(first))
     }
 
     private fun seen(verdict: ClaimVerdict) = refusals.count { it.holder!!.incarnation == verdict.holder!!.incarnation }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/ClaimsClient.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/ClaimsClient.kt
@@ -137,7 +137,7 @@
         tried: Wanted,
         result: ClaimResult,
     ): Boolean {
-        if (tried.triesLeft <= 1 || (result != ClaimResult.Split && result != ClaimResult.Unavailable)) return false
+        if (tried.triesLeft <= 1 || !result.isOpen) return false
         retries.trySend(Wanted(tried.claim, tried.triesLeft - 1))
         return true
     }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/Counters.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/Counters.kt
@@ -36,7 +36,7 @@
             when (result) {
                 ClaimResult.Granted -> Verdict.GRANTED
                 is ClaimResult.Held -> Verdict.HELD
-                ClaimResult.Split, ClaimResult.Unavailable -> Verdict.UNAVAILABLE
+                is ClaimResult.Split, ClaimResult.Unavailable -> Verdict.UNAVAILABLE
             }
         claims.merge(verdict, 1L, Long::plus)
     }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/EntryShell.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/EntryShell.kt
@@ -80,7 +80,7 @@
         use {
             when (val found = lookup(id)) {
                 is Lookup.Answered -> CompletableDeferred(Reply.Whole(found.answer))
-                is Lookup.Pending -> waiters.getOrPut(id) { CompletableDeferred() }
+                is Lookup.Pending, is Lookup.Lost -> waiters.getOrPut(id) { CompletableDeferred() }
                 Lookup.Unknown -> null
             }
         }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/Lookup.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/Lookup.kt
@@ -14,6 +14,11 @@
         val isFollowing: Boolean,
     ) : Lookup
 
+    /** Its owner is given up for dead; [answer] is what other entries may say of it. */
+    data class Lost(
+        val answer: Answer,
+    ) : Lookup
+
     /** This entry has not seen it. */
     data object Unknown : Lookup
 }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/PeerApi.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/PeerApi.kt
@@ -32,6 +32,7 @@
         val id = SubmissionId.parse(parameters["id"].orEmpty()) ?: return respond(HttpStatusCode.NotFound)
         val found = shell.use { lookup(id).also { if (it == Lookup.Unknown) releaseUnknown(id) } }
         if (found == Lookup.Unknown || found == Lookup.Pending(isFollowing = true)) return respond(HttpStatusCode.NotFound)
+        if (found is Lookup.Lost) return respondJson(HttpStatusCode.OK, WireJson.encodeToString(Answer.serializer(), found.answer))
         val reply = shell.find(id) ?: return respond(HttpStatusCode.NotFound)
         when (val whole = withTimeoutOrNull((waitMillis() ?: 0).milliseconds) { reply.await() }) {
             null -> respond(HttpStatusCode.Accepted)
--- a/entry/src/main/kotlin/io/bluebellramp/entry/Submission.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/Submission.kt
@@ -38,6 +38,9 @@
     var isConfirmed = true
     var isReclaiming = false
 
+    /** True once its owner is given up for dead. From then on this entry never starts anything of it and never releases a claim on it. */
+    var isTakingOver = false
+
     /** Why it is to be ended before its claim is decided. */
     var refusal: ErrorBody? = null
     var closing: ErrorBody? = null
--- a/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionRegistry.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionRegistry.kt
@@ -62,6 +62,7 @@
     fun lookup(id: SubmissionId): Lookup =
         when {
             kept[id] != null -> Lookup.Answered(kept[id]!!.answer)
+            submissions[id]?.isTakingOver == true -> Lookup.Lost(ownerLost(submissions.getValue(id)))
             id in submissions -> Lookup.Pending(isFollowing = id in owners)
             else -> Lookup.Unknown
         }
@@ -107,7 +108,8 @@
         when (result) {
             is ClaimResult.Held -> follow(submission, result)
             ClaimResult.Granted -> if (lease.isLive(now)) admit(submission) else giveUp(submission, notReady())
-            ClaimResult.Split, ClaimResult.Unavailable -> giveUp(submission, claimsUnavailable())
+            is ClaimResult.Split -> follow(submission, result.other)
+            ClaimResult.Unavailable -> giveUp(submission, claimsUnavailable())
         }
     }
 
@@ -156,32 +158,41 @@
     ) {
         val submission = submissions[id]?.takeIf { it.phase == SubmissionPhase.FOLLOWING } ?: return
         val owner = owners.getValue(id)
+        val isOver = now > submission.deadline + GRACE
         when {
-            result is FollowResult.Answered -> {
-                deliver(submission, result.answer)
-            }
-
-            now > submission.deadline + GRACE -> {
-                forget(submission)
-                refuse(id, Reply.Refused(ErrorBody(ErrorCode.OWNER_UNREACHABLE, "Entry ${owner.entry} owns it and does not answer.")))
-            }
+            result is FollowResult.Answered -> deliver(submission, result.answer)
+            submission.isTakingOver && (isOver || result == FollowResult.NotOwner) -> deliver(submission, ownerLost(submission))
+            isOver -> refuseUnreachable(submission, owner)
+            result == FollowResult.NotOwner -> claimAgain(submission)
+            lease.absent(owner.incarnation, now) > OWNER_WAIT -> takeOver(submission, owner)
+            else -> sink += Action.Follow(id, owner)
+        }
+    }
 
-            result is FollowResult.NotOwner -> {
-                owners.remove(id)
-                submission.phase = SubmissionPhase.CLAIMING
-                sink += Action.Claim(id, submission.new.digest)
-            }
+    private fun refuseUnreachable(
+        submission: Submission,
+        owner: ClaimHolder,
+    ) {
+        forget(submission)
+        refuse(submission.id, Reply.Refused(ErrorBody(ErrorCode.OWNER_UNREACHABLE, "Entry ${owner.entry} owns it and does not answer.")))
+    }
 
-            lease.absent(owner.incarnation, now) > OWNER_WAIT -> {
-                sink += Action.Claim(id, submission.new.digest, takeover = owner.incarnation)
-            }
+    private fun claimAgain(submission: Submission) {
+        owners.remove(submission.id)
+        submission.phase = SubmissionPhase.CLAIMING
+        sink += Action.Claim(submission.id, submission.new.digest)
+    }
 
-            else -> {
-                sink += Action.Follow(id, owner)
-            }
-        }
+    private fun takeOver(
+        submission: Submission,
+        owner: ClaimHolder,
+    ) {
+        submission.isTakingOver = true
+        sink += Action.Claim(submission.id, submission.new.digest, takeover = owner.incarnation)
     }
 
+    private fun ownerLost(submission: Submission) = lost(submission, "The entry ${owners[submission.id]?.entry} that owned it is gone.")
+
     private fun takenOver(
         submission: Submission,
         result: ClaimResult,
@@ -190,7 +201,7 @@
         when (result) {
             ClaimResult.Granted -> {
                 sink += Action.LogRouting("takeover", "owner ${owner.entry} is gone", submission.id)
-                deliver(submission, lost(submission, "The entry ${owner.entry} that owned it is gone."))
+                deliver(submission, ownerLost(submission))
             }
 
             is ClaimResult.Held -> {
@@ -198,7 +209,11 @@
                 sink += Action.Follow(submission.id, result.holder)
             }
 
-            ClaimResult.Split, ClaimResult.Unavailable -> {
+            is ClaimResult.Split -> {
+                takenOver(submission, result.other)
+            }
+
+            ClaimResult.Unavailable -> {
                 sink += Action.Follow(submission.id, owner)
             }
         }
@@ -212,7 +227,7 @@
         when (result) {
             ClaimResult.Granted -> confirm(submission)
             is ClaimResult.Held -> disown(submission, result.holder)
-            ClaimResult.Split, ClaimResult.Unavailable -> Unit
+            is ClaimResult.Split, ClaimResult.Unavailable -> Unit
         }
     }
 
