Entry: services, attempts, ownership and replies each in a file; permits renewed on a new revision

Change: ServiceTable, Dispatcher, AttemptTracker, SubmissionTable, Ownership and SubmissionRegistry; sets of closing and unconfirmed submissions; a new revision answers the last permit request of each agent again, whose age only shortens the permit.

--- a/entry/src/main/kotlin/io/bluebellramp/entry/Admission.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/Admission.kt
@@ -8,7 +8,7 @@
 /** Decides whether an owned submission is queued or refused before anything of it starts. No I/O. */
 internal class Admission(
     private val lease: LeaseKeeper,
-    private val dispatcher: Dispatcher,
+    private val services: ServiceTable,
     private val teams: TeamLedger,
     private val queuedTasks: Int,
 ) {
@@ -18,8 +18,8 @@
         now: Duration,
     ): ErrorBody? {
         if (submission.deadline <= now) return ErrorBody(ErrorCode.DEADLINE_PASSED, "The deadline passed before anything could start.")
-        if (dispatcher.waiting + submission.size > queuedTasks) {
-            return ErrorBody(ErrorCode.QUEUE_FULL, "The queue of this entry holds ${dispatcher.waiting} of $queuedTasks tasks.")
+        if (services.waiting + submission.size > queuedTasks) {
+            return ErrorBody(ErrorCode.QUEUE_FULL, "The queue of this entry holds ${services.waiting} of $queuedTasks tasks.")
         }
         return quota(submission) ?: forecast(submission)
     }
@@ -33,7 +33,7 @@
     }
 
     private fun forecast(submission: Submission): ErrorBody? {
-        val forecast = dispatcher.forecast(submission)
+        val forecast = services.forecast(submission)
         if (forecast !is DeadlineForecast.Unreachable) return null
         return ErrorBody(ErrorCode.DEADLINE_UNREACHABLE, "It needs at least ${forecast.estimate.inWholeMilliseconds} ms.")
     }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/AgentDirectory.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/AgentDirectory.kt
@@ -107,6 +107,13 @@
         lost.forEach(listener::outcomeLost)
     }
 
+    /** Answers the last permit request of each agent again, so that a new revision does not wait for the next request. */
+    fun renewPermits() =
+        byLink.values.filter { it.lastRequest != null }.forEach {
+            it.outbox.permitRequest = it.lastRequest
+            wake(it)
+        }
+
     /** Marks the link of [session] for sending. */
     fun wake(session: AgentSession) {
         session.link?.let { sink += Action.Wake(it) }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/AgentSession.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/AgentSession.kt
@@ -3,6 +3,7 @@
 import io.bluebellramp.core.ServiceId
 import io.bluebellramp.messages.AgentHello
 import io.bluebellramp.messages.Demand
+import io.bluebellramp.messages.PermitRequest
 import io.bluebellramp.messages.TargetState
 import kotlin.time.Duration
 
@@ -27,6 +28,9 @@
     var receivedSent = 0L
     var demandSent: Demand? = null
 
+    /** The last permit request on this connection. */
+    var lastRequest: PermitRequest? = null
+
     /** The service of the target that is there, or null. */
     val service: ServiceId? get() = target?.takeIf { it.present }?.service
 
@@ -40,6 +44,7 @@
         received = 0
         receivedSent = 0
         demandSent = null
+        lastRequest = null
         target = null
         isLeaving = false
     }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/EntryCore.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/EntryCore.kt
@@ -22,6 +22,9 @@
     private val sink = ActionSink()
     private val agents: AgentDirectory
     private val dispatcher: Dispatcher
+    private val tracker: AttemptTracker
+    private val services: ServiceTable
+    private val table: SubmissionTable
     private val registry: SubmissionRegistry
     private var wasLive = false
 
@@ -34,21 +37,24 @@
     init {
         agents = AgentDirectory(identity, lease, sink)
         val teams = TeamLedger(lease)
-        dispatcher = Dispatcher(lease, agents, policies, teams, counters, sink)
-        registry = SubmissionRegistry(lease, dispatcher, Admission(lease, dispatcher, teams, queuedTasks), counters, sink)
-        agents.listener = dispatcher
-        agents.demand = dispatcher::demand
-        dispatcher.listener = registry
+        services = ServiceTable(lease, agents, teams, policies)
+        dispatcher = Dispatcher(lease, agents, services, teams, counters, sink)
+        tracker = AttemptTracker(dispatcher, services, teams, counters)
+        table = SubmissionTable(counters, sink)
+        registry = SubmissionRegistry(table, lease, dispatcher, Admission(lease, services, teams, queuedTasks), counters, sink)
+        agents.listener = tracker
+        agents.demand = services::demand
+        tracker.listener = registry
     }
 
     /** True if no submission is without its answer. */
-    val isIdle get() = registry.isIdle
+    val isIdle get() = table.size == 0
 
     /** Submissions without an answer. */
-    val openSubmissions get() = registry.size
+    val openSubmissions get() = table.size
 
     /** Tasks and requests that wait. */
-    val waiting get() = dispatcher.waiting
+    val waiting get() = services.waiting
 
     /** Agents that are connected. */
     val connectedAgents get() = agents.connected.size
@@ -80,7 +86,7 @@
     }
 
     /** Tells what is known of [id]. */
-    fun lookup(id: SubmissionId): Lookup = registry.lookup(id)
+    fun lookup(id: SubmissionId): Lookup = table.lookup(id)
 
     /** Gives up a claim on [id] unless this entry knows the id. */
     fun releaseUnknown(id: SubmissionId) = registry.releaseUnknown(id)
@@ -101,7 +107,7 @@
         now: Duration,
     ) {
         advance(now)
-        registry.claimed(id, result)
+        registry.ownership.claimed(id, result)
     }
 
     /** Takes what the owner said. */
@@ -111,7 +117,7 @@
         now: Duration,
     ) {
         advance(now)
-        registry.followed(id, result)
+        registry.ownership.followed(id, result)
     }
 
     /** Returns the next lease request. */
@@ -139,10 +145,12 @@
         now: Duration,
     ) {
         advance(now)
+        val before = lease.revision
         if (!lease.renew(response, sent)) return
+        if (lease.revision > before) agents.renewPermits()
         wasLive = lease.isLive(now)
         agents.connected.filter { !lease.isInService(it.zone, it.target?.target) }.forEach { dispatcher.giveBack(it) }
-        dispatcher.refreshSlots()
+        services.refreshSlots()
         registry.tick()
         dispatcher.runAll()
     }
@@ -159,10 +167,11 @@
         frame.target?.let { replaceTarget(session, it) }
         frame.permitRequest?.let {
             agents.acknowledge(session, it.revision)
+            session.lastRequest = it
             session.outbox.permitRequest = it
             agents.wake(session)
         }
-        frame.outcomes.forEach { dispatcher.outcome(session, it) }
+        frame.outcomes.forEach { tracker.outcome(session, it) }
         if (frame.leaving) {
             session.isLeaving = true
             dispatcher.giveBack(session)
@@ -178,7 +187,7 @@
     ) {
         if (session.target?.target != target.target || !target.present) dispatcher.dropCredits(session)
         session.target = target
-        dispatcher.refreshSlots()
+        services.refreshSlots()
         agents.wake(session)
     }
 
@@ -189,7 +198,7 @@
     ) {
         advance(now)
         agents.detach(link, now)
-        dispatcher.refreshSlots()
+        services.refreshSlots()
         dispatcher.runAll()
     }
 
@@ -212,10 +221,10 @@
     }
 
     private fun advance(now: Duration) {
-        dispatcher.advance(now)
+        services.now = now
         if (wasLive && !lease.isLive(now)) {
             wasLive = false
-            registry.leaseLapsed()
+            registry.ownership.leaseLapsed()
         }
         registry.advance(now)
     }
--- /dev/null
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionTable.kt
@@ -0,0 +1,107 @@
+package io.bluebellramp.entry
+
+import io.bluebellramp.core.SubmissionId
+import io.bluebellramp.messages.Answer
+import io.bluebellramp.messages.AnswerOutcome
+import io.bluebellramp.messages.ClaimHolder
+import io.bluebellramp.messages.ErrorBody
+import io.bluebellramp.messages.ErrorCode
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+
+/** The submissions without an answer and the answers that are kept. No I/O. */
+internal class SubmissionTable(
+    private val counters: Counters,
+    private val sink: ActionSink,
+) {
+    private val submissions = LinkedHashMap<SubmissionId, Submission>()
+    private val owners = HashMap<SubmissionId, ClaimHolder>()
+    private val kept = KeptAnswers(life = KEEP_LIFE)
+
+    /** Submissions whose attempts are being settled. */
+    val closing = LinkedHashSet<Submission>()
+
+    /** Submissions whose claim must be confirmed. */
+    val unconfirmed = LinkedHashSet<Submission>()
+
+    /** The time of the current step. */
+    var now = Duration.ZERO
+
+    /** Submissions without an answer. */
+    val size get() = submissions.size
+
+    /** The submissions that this entry owns. */
+    val owned get() = submissions.values.filter { it.phase == SubmissionPhase.OPEN || it.phase == SubmissionPhase.CLOSING }
+
+    operator fun get(id: SubmissionId): Submission? = submissions[id]
+
+    /** The answer that is kept for [id], or null. */
+    fun kept(id: SubmissionId): KeptAnswers.Kept? = kept[id]
+
+    fun add(submission: Submission) {
+        submissions[submission.id] = submission
+    }
+
+    /** The entry that owns a followed submission. */
+    fun owner(submission: Submission): ClaimHolder = owners.getValue(submission.id)
+
+    /** Notes who owns [submission], or that nobody is known to. */
+    fun setOwner(
+        submission: Submission,
+        owner: ClaimHolder?,
+    ) {
+        if (owner == null) owners.remove(submission.id) else owners[submission.id] = owner
+    }
+
+    /** Tells what is known of [id]. */
+    fun lookup(id: SubmissionId): Lookup {
+        kept[id]?.let { return Lookup.Answered(it.answer) }
+        val submission = submissions[id] ?: return Lookup.Unknown
+        return if (submission.isTakingOver) Lookup.Lost(ownerLost(submission)) else Lookup.Pending(isFollowing = id in owners)
+    }
+
+    /** The answer to a submission whose owner is given up for dead. */
+    fun ownerLost(submission: Submission): Answer = lost(submission, "The entry ${owners[submission.id]?.entry} that owned it is gone.")
+
+    /** The answer to a submission of which nothing certain is known. */
+    fun lost(
+        submission: Submission,
+        message: String,
+    ) = Answer(submission = submission.id, outcome = AnswerOutcome.FAILED, error = ErrorBody(ErrorCode.OWNER_LOST, message))
+
+    /** Gives the final answer and keeps it. */
+    fun deliver(
+        submission: Submission,
+        answer: Answer,
+    ) {
+        forget(submission)
+        kept.add(submission.new.digest, answer, now)
+        counters.answer(answer.outcome)
+        sink += Action.Deliver(submission.id, Reply.Whole(answer))
+    }
+
+    /** Refuses a submission of which this entry started nothing and that it does not own. */
+    fun refuse(
+        submission: Submission,
+        code: ErrorCode,
+        message: String,
+    ) {
+        forget(submission)
+        counters.refusal(code)
+        sink += Action.LogRouting("refuse", code.name.lowercase(), submission.id)
+        sink += Action.Deliver(submission.id, Reply.Refused(ErrorBody(code, message)))
+    }
+
+    private fun forget(submission: Submission) {
+        submission.phase = SubmissionPhase.ANSWERED
+        submissions.remove(submission.id)
+        owners.remove(submission.id)
+        closing -= submission
+        unconfirmed -= submission
+    }
+
+    private companion object {
+        /** Longest life of an id, with a margin for clocks that differ. */
+        val KEEP_LIFE = 12.minutes
+    }
+}
