--- /dev/null
+++ b/control/src/main/kotlin/io/bluebellramp/control/Main.kt
@@ -0,0 +1,90 @@
+package io.bluebellramp.control
+
+import io.bluebellramp.core.MemberId
+import io.bluebellramp.core.SystemClock
+import io.bluebellramp.messages.ControlSettings
+import io.bluebellramp.messages.MemberAddress
+import io.bluebellramp.replication.LogListener
+import io.bluebellramp.replication.LogMember
+import io.bluebellramp.replication.LogSettings
+import io.bluebellramp.replication.LogStart
+import io.bluebellramp.replication.StorageError
+import io.bluebellramp.runtime.RunningProgram
+import io.bluebellramp.runtime.SettingsReader
+import io.bluebellramp.runtime.SharedKey
+import io.bluebellramp.runtime.httpLink
+import io.bluebellramp.runtime.runServer
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.runBlocking
+import org.tinylog.kotlin.Logger
+import java.nio.file.Path
+import kotlin.time.Duration.Companion.milliseconds
+
+private const val NAME = "bluebellramp-control"
+private const val LOG_FILE = "control.log"
+
+/** Runs a control process until SIGTERM. */
+fun main(args: Array<String>) =
+    runServer(
+        name = NAME,
+        args = args,
+        reader = SettingsReader("ControlSettings", ControlSettings.serializer(), ::checkSettings),
+        logFile = { settings -> settings.logFolder?.let { Path.of(it, LOG_FILE) } },
+        start = ::startControl,
+    )
+
+private fun startControl(settings: ControlSettings): RunningProgram {
+    val key = SharedKey.read(settings.keyFile, settings.listen.host)
+    val registry = PrometheusRegistry()
+    val machine = ConfigurationMachine()
+    val member = logMember(settings, key, machine, registry)
+    val start = runBlocking { member.start() }
+    check(start is LogStart.Started) { "the data folder ${settings.dataFolder} cannot be used: ${(start as LogStart.Refused).error}" }
+    val control = Control(settings, member, machine, SystemClock)
+    registerMetrics(control, registry)
+    return ControlProgram(settings, key, control, registry, closeLog = member::close).also { it.start() }
+}
+
+private fun logMember(
+    settings: ControlSettings,
+    key: SharedKey?,
+    machine: ConfigurationMachine,
+    registry: PrometheusRegistry,
+): LogMember {
+    val election = settings.electionMillis.milliseconds
+    val client = httpLink(key, connectTimeout = election, timeout = election)
+    return LogMember(
+        self = MemberAddress(settings.member, settings.listen),
+        founding = settings.members,
+        joining = settings.joining,
+        folder = Path.of(settings.dataFolder),
+        machine = machine,
+        transport = HttpLogTransport(client),
+        clock = SystemClock,
+        settings = LogSettings(settings.electionMillis, settings.heartbeatMillis, settings.snapshotRecords),
+        listener = SyncListener(settings.member, registry),
+    )
+}
+
+/** Measures the syncs of the log and reports a failed disk. */
+private class SyncListener(
+    private val member: MemberId,
+    registry: PrometheusRegistry,
+) : LogListener {
+    private val syncs =
+        Histogram
+            .builder()
+            .name("bluebellramp_control_sync_seconds")
+            .help("Time of a write to the log with its sync")
+            .classicOnly()
+            .register(registry)
+
+    override fun onSync(nanos: Long) = syncs.observe(nanos / NANOS_PER_SECOND)
+
+    override fun onStorageFailure(error: StorageError) = Logger.error("The log of $member has stopped: $error")
+
+    private companion object {
+        const val NANOS_PER_SECOND = 1e9
+    }
+}
