--- a/entry/src/main/kotlin/io/bluebellramp/entry/EntryCore.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/EntryCore.kt
@@ -17,11 +17,14 @@
 internal class EntryCore(
     private val identity: EntryIdentity,
     queuedTasks: Int,
-    policies: PlacementPolicies = BaselinePolicies,
+    policies: PlacementPolicies = DefaultPolicies,
 ) {
     private val sink = ActionSink()
     private val agents: AgentDirectory
     private val dispatcher: Dispatcher
+    private val tracker: AttemptTracker
+    private val services: ServiceTable
+    private val table: SubmissionTable
     private val registry: SubmissionRegistry
     private var wasLive = false
 
@@ -33,21 +36,25 @@
 
     init {
         agents = AgentDirectory(identity, lease, sink)
-        dispatcher = Dispatcher(lease, agents, policies, counters, sink)
-        registry = SubmissionRegistry(lease, dispatcher, Admission(lease, dispatcher, queuedTasks), counters, sink)
-        agents.listener = dispatcher
-        agents.demand = dispatcher::demand
-        dispatcher.listener = registry
+        val teams = TeamLedger(lease)
+        services = ServiceTable(lease, agents, teams, policies)
+        dispatcher = Dispatcher(lease, agents, services, teams, counters, sink)
+        tracker = AttemptTracker(dispatcher, services, teams, counters)
+        table = SubmissionTable(counters, sink)
+        registry = SubmissionRegistry(table, lease, dispatcher, Admission(lease, services, teams, queuedTasks), counters, sink)
+        agents.listener = tracker
+        agents.demand = services::demand
+        tracker.listener = registry
     }
 
     /** True if no submission is without its answer. */
-    val isIdle get() = registry.isIdle
+    val isIdle get() = table.size == 0
 
     /** Submissions without an answer. */
-    val openSubmissions get() = registry.size
+    val openSubmissions get() = table.size
 
     /** Tasks and requests that wait. */
-    val waiting get() = dispatcher.waiting
+    val waiting get() = services.waiting
 
     /** Agents that are connected. */
     val connectedAgents get() = agents.connected.size
@@ -79,7 +86,7 @@
     }
 
     /** Tells what is known of [id]. */
-    fun lookup(id: SubmissionId): Lookup = registry.lookup(id)
+    fun lookup(id: SubmissionId): Lookup = table.lookup(id)
 
     /** Gives up a claim on [id] unless this entry knows the id. */
     fun releaseUnknown(id: SubmissionId) = registry.releaseUnknown(id)
@@ -100,7 +107,7 @@
         now: Duration,
     ) {
         advance(now)
-        registry.claimed(id, result)
+        registry.ownership.claimed(id, result)
     }
 
     /** Takes what the owner said. */
@@ -110,7 +117,7 @@
         now: Duration,
     ) {
         advance(now)
-        registry.followed(id, result)
+        registry.ownership.followed(id, result)
     }
 
     /** Returns the next lease request. */
@@ -138,9 +145,12 @@
         now: Duration,
     ) {
         advance(now)
+        val before = lease.revision
         if (!lease.renew(response, sent)) return
+        if (lease.revision > before) agents.renewPermits()
         wasLive = lease.isLive(now)
         agents.connected.filter { !lease.isInService(it.zone, it.target?.target) }.forEach { dispatcher.giveBack(it) }
+        services.refreshSlots()
         registry.tick()
         dispatcher.runAll()
     }
@@ -157,16 +167,18 @@
         frame.target?.let { replaceTarget(session, it) }
         frame.permitRequest?.let {
             agents.acknowledge(session, it.revision)
+            session.lastRequest = it
             session.outbox.permitRequest = it
             agents.wake(session)
         }
-        frame.outcomes.forEach { dispatcher.outcome(session, it) }
+        frame.outcomes.forEach { tracker.outcome(session, it) }
         if (frame.leaving) {
             session.isLeaving = true
             dispatcher.giveBack(session)
         }
         frame.recalled?.let { dispatcher.giveBack(session, it.slots, it.connections) }
         frame.credits?.let { dispatcher.grant(session, it.slots, it.connections) }
+        session.service?.let(dispatcher::run)
     }
 
     private fun replaceTarget(
@@ -175,6 +187,7 @@
     ) {
         if (session.target?.target != target.target || !target.present) dispatcher.dropCredits(session)
         session.target = target
+        services.refreshSlots()
         agents.wake(session)
     }
 
@@ -185,6 +198,7 @@
     ) {
         advance(now)
         agents.detach(link, now)
+        services.refreshSlots()
         dispatcher.runAll()
     }
 
@@ -202,14 +216,15 @@
         advance(now)
         agents.expire(now)
         registry.tick()
+        dispatcher.runAll()
         agents.wakeForNews()
     }
 
     private fun advance(now: Duration) {
-        dispatcher.advance(now)
+        services.now = now
         if (wasLive && !lease.isLive(now)) {
             wasLive = false
-            registry.leaseLapsed()
+            registry.ownership.leaseLapsed()
         }
         registry.advance(now)
     }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/Submission.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/Submission.kt
@@ -38,10 +38,14 @@
     var isConfirmed = true
     var isReclaiming = false
 
+    /** True once its owner is given up for dead. From then on this entry never starts anything of it and never releases a claim on it. */
+    var isTakingOver = false
+
     /** Why it is to be ended before its claim is decided. */
     var refusal: ErrorBody? = null
     var closing: ErrorBody? = null
     var closingSince = Duration.ZERO
+    var isInquired = false
 
     /** An answer that waits until the claim is confirmed. */
     var pending: Answer? = null
@@ -72,7 +76,7 @@
         if (!started[task]) unknown.set(task)
     }
 
-    fun isDone(task: Int) = done[task]
+    fun isStarted(task: Int) = started[task]
 
     val isComplete get() = done.cardinality() == size
 
