Load: exit 3 if nothing completed; check of ids proved

Cause: a check of answers whose tests pass without it proves nothing: the test of the ids passed with the comparison of ids taken out. Change: a case with right texts under other ids. A load that completes no job exits with 3.

--- a/bench/src/main/kotlin/io/bluebellramp/bench/LoadCommand.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/LoadCommand.kt
@@ -64,7 +64,11 @@
         val report = runBlocking(Dispatchers.Default) { LoadRun(settings, SystemClock).use { it.run() } }
         println(report.wording())
         out?.let { Files.writeString(Path.of(it), ReportJson.encodeToString(LoadReport.serializer(), report)) }
-        return if (report.wrong == 0) ExitCode.OK else ExitCode.FAILED
+        return when {
+            report.wrong > 0 -> ExitCode.FAILED
+            report.slowdown.samples == 0L -> ExitCode.REFUSED
+            else -> ExitCode.OK
+        }
     }
 
     private fun settings() =
--- a/bench/src/test/kotlin/io/bluebellramp/bench/AnswerCheckTest.kt
+++ b/bench/src/test/kotlin/io/bluebellramp/bench/AnswerCheckTest.kt
@@ -42,6 +42,7 @@
                     "too few" to complete(whole.take(1)),
                     "other order" to complete(whole.reversed()),
                     "another job" to complete(whole, of = other),
+                    "ids of other tasks" to complete(listOf(TaskResult("2", "text-0"), TaskResult("3", "text-1"))),
                     "another text" to complete(listOf(TaskResult("0", "text-0"), TaskResult("1", "text-0"))),
                 )
             cases.forEach { (name, answer) -> assertNotNull(AnswerCheck.fault(job, answer), name) }
