--- a/bench/src/main/kotlin/io/bluebellramp/bench/LoadCommand.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/LoadCommand.kt
@@ -51,6 +51,7 @@
     private val team by option(ArgType.String, "team", description = "Team of the jobs")
     private val marks by option(ArgType.String, "mark", description = "SECOND:TEXT to note in the output; may be given again").multiple()
     private val scrapes by option(ArgType.String, "scrape", description = "URL of /metrics to read before and after").multiple()
+    private val pids by option(ArgType.Int, "pid", description = "Process of this machine whose processor time counts").multiple()
     private val startsFiles by option(
         ArgType.String,
         "starts",
@@ -84,6 +85,7 @@
             deadline = if (deadline > 0) deadline.milliseconds else null,
             marks = marks.map(::mark),
             scrapes = scrapes,
+            pids = pids,
             startsFiles = startsFiles.map { Path.of(it) },
             history = history?.let { Path.of(it) },
         )
@@ -138,6 +140,7 @@
     val deadline: Duration?,
     val marks: List<Mark>,
     val scrapes: List<String>,
+    val pids: List<Int>,
     val startsFiles: List<Path>,
     val history: Path?,
 )
--- a/bench/src/main/kotlin/io/bluebellramp/bench/LoadRecords.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/LoadRecords.kt
@@ -75,8 +75,8 @@
     /** Returns the figures of the run, and writes its history. */
     fun report(
         startedAt: Instant,
-        before: Map<String, MetricsPage>,
-        after: Map<String, MetricsPage>,
+        before: Scrape,
+        after: Scrape,
     ): LoadReport {
         settings.history?.let { file -> Files.write(file, records.map { Json.encodeToString(SubmissionRecord.serializer(), it) }) }
         val jobs = records.filter { it.kind == JOB }
@@ -103,7 +103,7 @@
             workSeconds = complete.sumOf { it.workMillis } / MILLIS,
             series = WorkSeries.of(complete, startedAt, settings.startsFiles),
             marks = settings.marks,
-            counters = after.flatMap { (url, page) -> page.growthSince(before[url], process = url, tasks = tasks) },
+            counters = after.growthSince(before, tasks),
         )
     }
 
--- a/bench/src/main/kotlin/io/bluebellramp/bench/LoadRun.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/LoadRun.kt
@@ -134,8 +134,11 @@
             chosen.take((chosen.size * settings.cancels.share).toInt()).forEach { launch { calls.cancel(it) } }
         }
 
-    private suspend fun scrape(): Map<String, MetricsPage> =
-        settings.scrapes.mapNotNull { url -> calls.metrics(url)?.let { url to MetricsPage(it) } }.toMap()
+    private suspend fun scrape() =
+        Scrape(
+            pages = settings.scrapes.mapNotNull { url -> calls.metrics(url)?.let { url to MetricsPage(it) } }.toMap(),
+            processorSeconds = ProcessTimes().seconds(settings.pids),
+        )
 
     private companion object {
         /** Time to warm up before the first arrival. */
--- a/bench/src/main/kotlin/io/bluebellramp/bench/MetricsPage.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/MetricsPage.kt
@@ -24,3 +24,33 @@
             CounterGrowth(process = process, counter = name, growth = growth, perTask = if (tasks > 0) growth / tasks else 0.0)
         }
 }
+
+/**
+ * What the processes have counted at one moment.
+ *
+ * @property pages pages of metrics by URL
+ * @property processorSeconds processor time by process id (s)
+ */
+internal class Scrape(
+    private val pages: Map<String, MetricsPage>,
+    private val processorSeconds: Map<Int, Double>,
+) {
+    /** How everything grew from [before] to this moment. */
+    fun growthSince(
+        before: Scrape,
+        tasks: Int,
+    ): List<CounterGrowth> =
+        pages.flatMap { (url, page) -> page.growthSince(before.pages[url], process = url, tasks = tasks) } +
+            processorSeconds.map { (pid, seconds) -> processorGrowth(pid, seconds - (before.processorSeconds[pid] ?: 0.0), tasks) }
+
+    private fun processorGrowth(
+        pid: Int,
+        growth: Double,
+        tasks: Int,
+    ) = CounterGrowth(
+        process = "process $pid",
+        counter = "processor_seconds",
+        growth = growth,
+        perTask = if (tasks > 0) growth / tasks else 0.0,
+    )
+}
--- a/bench/src/test/kotlin/io/bluebellramp/bench/LoadRunTest.kt
+++ b/bench/src/test/kotlin/io/bluebellramp/bench/LoadRunTest.kt
@@ -73,6 +73,7 @@
             deadline = null,
             marks = emptyList(),
             scrapes = emptyList(),
+            pids = emptyList(),
             startsFiles = emptyList(),
             history = null,
         )
