Credits end with the target; grants by the best waiting job

Cause: an entry drops the credits of a target that leaves without returning them, so the agent took them as held until it wrote them off 2 s later. Change: the agent forgets them in the same step as it says that the target is gone. The default policy is that of the placement module; what is being recalled is told to it apart. The seeded runs use both policies, and their entries drop credits likewise. The spec of the recall let the announcement of the target run out together with the permit; it announces the target now, as a live target does, and checks the same numbers.

--- a/agent/src/main/kotlin/io/bluebellramp/agent/AgentCore.kt
+++ b/agent/src/main/kotlin/io/bluebellramp/agent/AgentCore.kt
@@ -8,8 +8,8 @@
 import io.bluebellramp.messages.EntryHello
 import io.bluebellramp.messages.TargetAnnouncement
 import io.bluebellramp.messages.TargetState
-import io.bluebellramp.placement.DemandGrantPolicy
 import io.bluebellramp.placement.GrantPolicy
+import io.bluebellramp.placement.Placement
 import io.bluebellramp.placement.QueueDemand
 
 /**
@@ -21,7 +21,7 @@
     private val hello: AgentHello,
     clock: Clock,
     options: AgentOptions = AgentOptions(),
-    policy: GrantPolicy = DemandGrantPolicy(),
+    policy: GrantPolicy = Placement.grants(),
 ) {
     private val out = Outbox()
     private val connections = LinkedHashMap<ConnectionId, EntryConnection>()
@@ -152,8 +152,10 @@
 
     private fun tellTarget() {
         val state = target.state
-        if (state == toldTarget) return
+        val told = toldTarget
+        if (state == null || state == told) return
         toldTarget = state
+        if (told != null && (!state.present || state.target != told.target)) issuer.forgetAll(connections.values)
         connections.keys.forEach { out.send(it, AgentFrame(target = state)) }
     }
 }
--- a/agent/src/main/kotlin/io/bluebellramp/agent/CreditAccount.kt
+++ b/agent/src/main/kotlin/io/bluebellramp/agent/CreditAccount.kt
@@ -48,6 +48,12 @@
         return more
     }
 
+    /** Takes all credits as lost. */
+    fun forget() {
+        unspent = 0
+        recalling = 0
+    }
+
     /** Writes off what was recalled longer than [patience] ago. */
     fun writeOff(
         now: Duration,
--- a/agent/src/main/kotlin/io/bluebellramp/agent/CreditIssuer.kt
+++ b/agent/src/main/kotlin/io/bluebellramp/agent/CreditIssuer.kt
@@ -42,6 +42,14 @@
         }
     }
 
+    /** Takes all credits as lost. Entries drop those of a target that has gone. */
+    fun forgetAll(connections: Collection<EntryConnection>) {
+        for (connection in connections) {
+            connection.slots.forget()
+            connection.connections.forget()
+        }
+    }
+
     private fun issueSlots(
         entries: List<EntryConnection>,
         free: Int,
@@ -52,8 +60,9 @@
             byEntry.map { (entry, connection) ->
                 EntryStanding(
                     entry = entry,
-                    unspent = connection.slots.unspent - connection.slots.recalling,
+                    unspent = connection.slots.unspent,
                     demand = connection.demand,
+                    recalled = connection.slots.recalling,
                 )
             }
         val decision = policy.decide(free.coerceAtLeast(0), standings)
--- a/agent/src/test/kotlin/io/bluebellramp/agent/AgentCoreTest.kt
+++ b/agent/src/test/kotlin/io/bluebellramp/agent/AgentCoreTest.kt
@@ -45,12 +45,16 @@
             ready()
             agent.demand(1, tasks = 3)
             agent.advance(1_999.milliseconds)
+            agent.announce()
             assertEquals(0, agent.recalled(1).slots)
             agent.advance(1.milliseconds)
             assertEquals(Credits(slots = 3, connections = 6), agent.recalled(1))
             agent.receive(1, EntryFrame(returned = Credits(slots = 1)))
-            repeat(50) { agent.advance(50.milliseconds) }
-            announceAndPermit()
+            repeat(50) {
+                agent.advance(50.milliseconds)
+                agent.announce()
+            }
+            agent.permit()
             assertEquals(6, agent.granted(1).slots, "three again")
         }
 
@@ -66,6 +70,16 @@
             assertEquals(3, agent.starts.size)
         }
 
+        @Test
+        fun `is lost when the target leaves and granted again when it is back`() {
+            ready()
+            agent.demand(1, tasks = 3)
+            agent.step(AgentInput.TargetLeft)
+            assertEquals(Credits(), agent.recalled(1))
+            agent.announce()
+            assertEquals(Credits(slots = 6, connections = 12), agent.granted(1))
+        }
+
         @Test
         fun `ends with the connection`() {
             ready()
@@ -184,11 +198,6 @@
         agent.permit(revision = revision)
     }
 
-    private fun announceAndPermit() {
-        agent.announce()
-        agent.permit()
-    }
-
     private fun runningAndWaiting(): Pair<TaskReference, TaskReference> {
         ready()
         agent.demand(1, tasks = 3)
--- a/agent/src/test/kotlin/io/bluebellramp/agent/AgentSimulation.kt
+++ b/agent/src/test/kotlin/io/bluebellramp/agent/AgentSimulation.kt
@@ -17,6 +17,8 @@
 import io.bluebellramp.messages.Permit
 import io.bluebellramp.messages.TargetAnnouncement
 import io.bluebellramp.messages.TaskReference
+import io.bluebellramp.placement.DemandGrantPolicy
+import io.bluebellramp.placement.Placement
 import java.util.PriorityQueue
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -285,7 +287,8 @@
         requested.clear()
         history.restarted()
         incarnation = IncarnationId("a.$agentRun")
-        core = AgentCore(AgentHello(AgentId("a1"), incarnation, SiteId("s1"), ZoneId("z1")), clock)
+        val hello = AgentHello(AgentId("a1"), incarnation, SiteId("s1"), ZoneId("z1"))
+        core = AgentCore(hello, clock, policy = if (random.nextBoolean()) Placement.grants() else DemandGrantPolicy())
     }
 
     private fun delay() = if (chaos && random.nextInt(20) == 0) random.nextLong(1500).milliseconds else random.nextLong(1, 5).milliseconds
--- a/agent/src/test/kotlin/io/bluebellramp/agent/CoreHarness.kt
+++ b/agent/src/test/kotlin/io/bluebellramp/agent/CoreHarness.kt
@@ -23,6 +23,7 @@
 import io.bluebellramp.messages.TargetAnnouncement
 import io.bluebellramp.messages.TaskOutcome
 import io.bluebellramp.messages.TaskReference
+import io.bluebellramp.placement.DemandGrantPolicy
 import kotlin.time.Duration
 
 /** Drives an [AgentCore] by hand and keeps what it did. */
@@ -33,7 +34,8 @@
     private val incarnation = IncarnationId("a.1")
     private var submissions = 0L
     val clock = ManualClock()
-    val core = AgentCore(AgentHello(AgentId("a1"), incarnation, SiteId("s1"), ZoneId("z1")), clock)
+    val core =
+        AgentCore(AgentHello(AgentId("a1"), incarnation, SiteId("s1"), ZoneId("z1")), clock, policy = DemandGrantPolicy())
     val starts = ArrayList<TaskReference>()
     val frames = ArrayList<Pair<Long, AgentFrame>>()
     val dropped = ArrayList<DropReason>()
--- a/agent/src/test/kotlin/io/bluebellramp/agent/SimulatedEntry.kt
+++ b/agent/src/test/kotlin/io/bluebellramp/agent/SimulatedEntry.kt
@@ -68,15 +68,20 @@
 
     fun disconnected() {
         agent = null
-        slots = 0
-        connections = 0
+        dropCredits()
         received = 0
         open.values.forEach { it.isConfirmed = false }
     }
 
+    private fun dropCredits() {
+        slots = 0
+        connections = 0
+    }
+
     /** Takes a frame and returns the answer without its permit. */
     fun received(frame: AgentFrame): EntryFrame {
         val inquiries = frame.hello?.let { greeted(it.incarnation) }.orEmpty()
+        if (frame.target?.present == false) dropCredits()
         slots += frame.credits?.slots ?: 0
         connections += frame.credits?.connections ?: 0
         received += frame.outcomes.size
