--- a/agent/src/test/kotlin/io/bluebellramp/agent/AgentBench.kt
+++ b/agent/src/test/kotlin/io/bluebellramp/agent/AgentBench.kt
@@ -29,7 +29,7 @@
 private const val TASKS = 100_000
 private const val TASKS_PER_JOB = 18
 private const val NANOS_PER_MICRO = 1000.0
-private val LEDGER_TIME_SECONDS = 600
+private const val LEDGER_TIME_SECONDS = 600
 
 /** Measures an agent's core in virtual time: processor time and bytes a task, and the memory of the ledger. */
 fun main() {
--- a/agent/src/test/kotlin/io/bluebellramp/agent/FakeEntry.kt
+++ b/agent/src/test/kotlin/io/bluebellramp/agent/FakeEntry.kt
@@ -29,8 +29,9 @@
 /** An entry on a real socket that permits everything and spends each credit on the next payload of [payloads]. */
 internal class FakeEntry(
     name: String = "e1",
+    val address: Address = freeAddress(),
+    private val slots: Int = 2,
 ) : AutoCloseable {
-    val address = freeAddress()
     val payloads = ArrayDeque<String>()
     val outcomes = Channel<TaskOutcome>(Channel.UNLIMITED)
     val leaving = Channel<Unit>(Channel.CONFLATED)
@@ -77,7 +78,7 @@
             revision = Revision(1),
             validMillis = 2000,
             inService = true,
-            slots = 2,
+            slots = slots,
             connections = 4,
             taskMillis = 5000,
             entries = listOf(address),
