Agents dial their entries off the default dispatcher

Cause: Ktor's WebSocket client blocks its thread for a nonce that another coroutine of the default dispatcher makes. On a VM with two processors an agent with two entries blocked both threads for good and never linked. Ruled out: load of the machine, the connect timeout, the entry's route (a hand-made handshake got 101); a thread dump shows both workers there. Change: links run on the dispatcher for blocking work; a failed link is logged; log lines are written at once.

--- a/agent/src/main/kotlin/io/bluebellramp/agent/AgentProgram.kt
+++ b/agent/src/main/kotlin/io/bluebellramp/agent/AgentProgram.kt
@@ -37,6 +37,9 @@
 
 private const val STOP_GRACE_MILLIS = 100L
 private const val STOP_TIMEOUT_MILLIS = 1000L
+
+/** Longest time of a TCP connection and WebSocket handshake with an entry. */
+private val DIAL_TIME = 5.seconds
 private val LEAVE_MARGIN = 1.seconds
 private val DEFAULT_LEAVE_TIME = 30.seconds
 
@@ -54,7 +57,7 @@
     private val core = AgentCore(AgentHello(settings.agent, IncarnationId.next(), settings.site, settings.zone), clock, options)
     private val views = MutableStateFlow(core.view())
     private val target = TargetLink(clock)
-    private val entryClient = httpLink(key)
+    private val entryClient = httpLink(key, connectTimeout = DIAL_TIME)
     private val links = EntryLinks(settings.entries, entryClient, scope, metrics) { inputs.send(it) }
     private val server = httpServer(settings.listen, PermitHealth(), registry, key) { announcements() }
 
--- a/agent/src/main/kotlin/io/bluebellramp/agent/EntryLink.kt
+++ b/agent/src/main/kotlin/io/bluebellramp/agent/EntryLink.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
+import org.tinylog.kotlin.Logger
 
 /** One WebSocket connection to the entry at [address]. Frames that wait are merged into one. */
 internal class EntryLink(
@@ -50,8 +51,9 @@
                 for (frame in incoming) if (frame is Frame.Text) received(decode(frame))
                 sender.cancel()
             }
-        } catch (_: Exception) {
+        } catch (e: Exception) {
             currentCoroutineContext().ensureActive()
+            Logger.warn("link to entry $address: ${e.message ?: e.javaClass.simpleName}")
         } finally {
             closed.close()
         }
--- a/agent/src/main/kotlin/io/bluebellramp/agent/EntryLinks.kt
+++ b/agent/src/main/kotlin/io/bluebellramp/agent/EntryLinks.kt
@@ -4,6 +4,7 @@
 import io.bluebellramp.messages.AgentFrame
 import io.ktor.client.HttpClient
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.joinAll
@@ -41,7 +42,8 @@
         wanted = if (learned.isEmpty() || open.isEmpty()) learned.toSet() + seeds else learned.toSet()
         dialing.values.removeIf { it.isCompleted }
         for (address in wanted) {
-            if (address !in dialing) dialing[address] = scope.launch { keep(address) }
+            // Ktor blocks its thread for the nonce of a handshake, which another coroutine of the default dispatcher makes.
+            if (address !in dialing) dialing[address] = scope.launch(Dispatchers.IO) { keep(address) }
         }
     }
 
--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/Logging.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/Logging.kt
@@ -40,7 +40,7 @@
     Configuration.set("writer.file", file.toString())
     Configuration.set("writer.format", "LDJSON")
     Configuration.set("writer.append", "true")
-    Configuration.set("writer.buffered", "true")
+    Configuration.set("writer.buffered", "false")
     Configuration.set("writer.field.time", "{date:yyyy-MM-dd'T'HH:mm:ss.SSSXXX}")
     Configuration.set("writer.field.level", "{level}")
     Configuration.set("writer.field.message", "{message}")
