Files of the log proved: torn tails, damage, a failing disk

Torn tails at every length are cut, and a changed byte anywhere before the last frame is refused with file and offset. A member whose disk fails stops and says nothing more.

--- a/replication/src/main/kotlin/io/bluebellramp/replication/LogMember.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/LogMember.kt
@@ -31,46 +31,38 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Is told what a [LogMember] does. All functions return at once. */
-interface LogListener {
-    /** A write of records and its sync took [nanos] (ns). */
-    fun onSync(nanos: Long) = Unit
-
-    /** The disk failed; the member has stopped and must be restarted or replaced. */
-    fun onStorageFailure(error: StorageError) = Unit
-}
-
-/** What starting a [LogMember] gave. */
-sealed interface LogStart {
-    /** The member runs. */
-    data object Started : LogStart
-
-    /** The data folder can't be used; the member does not run. */
-    data class Refused(
-        val error: StorageError,
-    ) : LogStart
-}
-
 /**
- * A member of the replicated log with its files in [folder].
+ * A member of the replicated log.
  *
  * @param founding the first members of a new cluster; ignored once the folder holds a membership
  * @param joining true for a member that starts empty and waits to be added
  * @param machine called from one thread at a time, never concurrently
  */
-class LogMember(
+class LogMember internal constructor(
     private val self: MemberAddress,
     private val founding: List<MemberAddress>,
     private val joining: Boolean,
-    folder: Path,
+    private val storage: LogStorage,
     private val machine: StateMachine,
     private val transport: LogTransport,
     private val clock: Clock,
-    private val settings: LogSettings = LogSettings(),
-    private val listener: LogListener = object : LogListener {},
+    private val settings: LogSettings,
+    private val listener: LogListener,
 ) : ReplicatedLog,
     AutoCloseable {
-    private val storage: LogStorage = FileLogStorage(folder, listener::onSync)
+    /** A member with its files in [folder]. */
+    constructor(
+        self: MemberAddress,
+        founding: List<MemberAddress>,
+        joining: Boolean,
+        folder: Path,
+        machine: StateMachine,
+        transport: LogTransport,
+        clock: Clock,
+        settings: LogSettings = LogSettings(),
+        listener: LogListener = object : LogListener {},
+    ) : this(self, founding, joining, FileLogStorage(folder, listener::onSync), machine, transport, clock, settings, listener)
+
     private val disk =
         Executors
             .newSingleThreadExecutor {
--- /dev/null
+++ b/replication/src/test/kotlin/io/bluebellramp/replication/FileLogStorageTest.kt
@@ -0,0 +1,146 @@
+package io.bluebellramp.replication
+
+import io.bluebellramp.core.MemberId
+import io.bluebellramp.messages.LogRecord
+import io.bluebellramp.messages.Membership
+import io.bluebellramp.messages.RecordKind
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.io.TempDir
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.io.path.deleteExisting
+import kotlin.io.path.readBytes
+import kotlin.io.path.writeBytes
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+
+class FileLogStorageTest {
+    @TempDir
+    lateinit var root: Path
+
+    private val member = MemberId("a")
+    private val vote = VoteState(member, term = 3, votedFor = MemberId("b"), stage = FoundingStage.ACTIVE)
+    private val log get() = root.resolve("log")
+
+    private fun record(
+        index: Long,
+        term: Long = 1,
+    ) = LogRecord(index, term, RecordKind.COMMAND, "body $index of $term")
+
+    private fun records(
+        range: LongRange,
+        term: Long = 1,
+    ) = range.map { record(it, term) }
+
+    private fun snapshot(index: Long) = StoredSnapshot(index, 1, Membership(1, listOf(address("a")), emptyList(), emptyList()), "state")
+
+    private fun write(vararg writes: StorageWrite) {
+        FileLogStorage(root).use { storage ->
+            assertIs<StorageOpening.Opened>(storage.open(member))
+            writes.forEach { assertNull(storage.persist(listOf(it))) }
+        }
+    }
+
+    private fun read(): StoredState = FileLogStorage(root).use { assertIs<StorageOpening.Opened>(it.open(member)).state }
+
+    private fun refusal(): StorageError = FileLogStorage(root).use { assertIs<StorageOpening.Refused>(it.open(member)).error }
+
+    @Nested
+    inner class `opened again` {
+        @Test
+        fun `gives what was synced`() {
+            write(StorageWrite.Vote(vote), StorageWrite.Append(records(1L..3)), StorageWrite.Append(records(4L..4)))
+            assertEquals(StoredState(vote, null, records(1L..4)), read())
+        }
+
+        @Test
+        fun `gives the records that replaced a tail`() {
+            write(StorageWrite.Vote(vote), StorageWrite.Append(records(1L..5)), StorageWrite.Append(records(3L..4, term = 2)))
+            assertEquals(records(1L..2) + records(3L..4, term = 2), read().records)
+        }
+
+        @Test
+        fun `gives the snapshot and the records after it`() {
+            write(StorageWrite.Vote(vote), StorageWrite.Append(records(1L..5)), StorageWrite.Snapshot(snapshot(4), records(5L..5)))
+            write(StorageWrite.Append(records(6L..6)))
+            assertEquals(StoredState(vote, snapshot(4), records(5L..6)), read())
+        }
+
+        @Test
+        fun `drops what the snapshot covers after a crash before the log was replaced`() {
+            write(StorageWrite.Vote(vote), StorageWrite.Append(records(1L..5)))
+            val old = log.readBytes()
+            write(StorageWrite.Snapshot(snapshot(4), records(5L..5)))
+            log.writeBytes(old)
+            assertEquals(records(5L..5), read().records)
+        }
+    }
+
+    @Nested
+    inner class `a torn write` {
+        @Test
+        fun `is cut off at any length and the log goes on`() {
+            write(StorageWrite.Vote(vote), StorageWrite.Append(records(1L..3)))
+            val synced = Files.size(log).toInt()
+            write(StorageWrite.Append(records(4L..5)))
+            val whole = log.readBytes()
+            for (length in synced until whole.size) {
+                log.writeBytes(whole.copyOf(length))
+                assertEquals(records(1L..3), read().records, "cut at $length")
+                assertEquals(synced.toLong(), Files.size(log))
+            }
+            write(StorageWrite.Append(records(4L..4, term = 2)))
+            assertEquals(records(1L..3) + record(4, 2), read().records)
+        }
+    }
+
+    @Nested
+    inner class `a damaged file` {
+        @Test
+        fun `is refused with file and offset wherever a byte before the last frame changed`() {
+            write(StorageWrite.Vote(vote), StorageWrite.Append(records(1L..2)))
+            val first = Files.size(log).toInt()
+            write(StorageWrite.Append(records(3L..4)))
+            val second = Files.size(log).toInt()
+            write(StorageWrite.Append(records(5L..5)))
+            val whole = log.readBytes()
+            for (offset in 0 until second) {
+                val damaged = whole.copyOf()
+                damaged[offset] = (damaged[offset].toInt() xor 4).toByte()
+                log.writeBytes(damaged)
+                val expected =
+                    StorageError.Corrupt(
+                        log.toString(),
+                        if (offset <
+                            first
+                        ) {
+                            0
+                        } else {
+                            first.toLong()
+                        },
+                        "bad checksum before the last frame",
+                    )
+                assertEquals(expected, refusal(), "byte $offset")
+            }
+        }
+
+        @Test
+        fun `is refused when it holds the vote`() {
+            write(StorageWrite.Vote(vote))
+            val file = root.resolve("vote")
+            val damaged = file.readBytes()
+            damaged[20] = (damaged[20].toInt() xor 1).toByte()
+            file.writeBytes(damaged)
+            assertEquals(file.toString(), assertIs<StorageError.Corrupt>(refusal()).file)
+        }
+
+        @Test
+        fun `is refused when the vote is gone but the log is not`() {
+            write(StorageWrite.Vote(vote), StorageWrite.Append(records(1L..2)))
+            root.resolve("vote").deleteExisting()
+            assertIs<StorageError.Corrupt>(refusal())
+        }
+    }
+}
--- a/replication/src/test/kotlin/io/bluebellramp/replication/LogMemberTest.kt
+++ b/replication/src/test/kotlin/io/bluebellramp/replication/LogMemberTest.kt
@@ -140,4 +140,37 @@
                 Unit
             }
     }
+
+    @Nested
+    inner class `a disk that fails` {
+        private inner class FailingStorage : LogStorage {
+            private var calls = 0
+
+            override fun open(member: MemberId) = StorageOpening.Opened(StoredState(null, null, emptyList()))
+
+            override fun persist(writes: List<StorageWrite>): StorageError? = if (++calls < 4) null else StorageError.Failed("no space")
+
+            override fun close() = Unit
+        }
+
+        @Test
+        fun `stops the member, and nothing is said to be accepted`() =
+            runBlocking {
+                var failure: StorageError? = null
+                val listener =
+                    object : LogListener {
+                        override fun onStorageFailure(error: StorageError) {
+                            failure = error
+                        }
+                    }
+                val settings = LogSettings(electionMillis = 100, heartbeatMillis = 20)
+                val self = address("a")
+                val member = LogMember(self, listOf(self), false, FailingStorage(), ListMachine(), cluster, SystemClock, settings, listener)
+                member.start()
+                cluster.eventually("failure") { if (member.propose("x") is ProposalResult.Applied) error("accepted") else failure }
+                assertEquals(ProposalResult.NotLeader(null), member.propose("y"))
+                assertEquals(false, member.holdsMajority())
+                member.close()
+            }
+    }
 }
