--- a/replication/src/main/kotlin/io/bluebellramp/replication/FileLogStorage.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/FileLogStorage.kt
@@ -31,8 +31,7 @@
 
     override fun open(member: MemberId): StorageOpening =
         try {
-            Files.createDirectories(folder)
-            folder.toAbsolutePath().parent?.let { SyncedFiles(it).syncFolder() }
+            if (!Files.exists(folder)) createFolder()
             if (takeLock()) read(member) else refuse(StorageError.Locked(folder.toString()))
         } catch (e: IOException) {
             refuse(StorageError.Failed("cannot open data folder $folder: $e"))
@@ -53,6 +52,11 @@
         lockChannel?.close()
     }
 
+    private fun createFolder() {
+        Files.createDirectories(folder)
+        folder.toAbsolutePath().parent?.let { SyncedFiles(it).syncFolder() }
+    }
+
     private fun takeLock(): Boolean {
         val channel = FileChannel.open(folder.resolve(LOCK), CREATE, WRITE)
         lockChannel = channel
--- a/replication/src/main/kotlin/io/bluebellramp/replication/Leader.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/Leader.kt
@@ -167,7 +167,7 @@
         val start = if (limit == 0 && known.match > 0) known.match else known.next - 1
         val previous = maxOf(start, log.snapshotIndex)
         val term = checkNotNull(log.termAt(previous)) { "no term of record $previous" }
-        val records = log.from(previous + 1, limit)
+        val records = log.batch(previous + 1, limit)
         if (records.isNotEmpty()) known.sentAt = now
         val request = AppendRequest(state.term, state.self, nextRound(now), previous, term, records, state.commitIndex)
         state.outbox.send(peer, PeerRequest.Append(request))
--- a/replication/src/main/kotlin/io/bluebellramp/replication/RecordLog.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/RecordLog.kt
@@ -65,6 +65,19 @@
 
     fun record(index: Long): LogRecord = records[(index - snapshotIndex - 1).toInt()]
 
+    /** Returns the records from [index] on, [limit] and [MOST_CHARACTERS] at most, but one at least unless [limit] is 0. */
+    fun batch(
+        index: Long,
+        limit: Int,
+    ): List<LogRecord> {
+        var characters = 0
+        return from(index, limit).takeWhile { record ->
+            val isFirst = record.index == index
+            characters += record.body.length
+            isFirst || characters <= MOST_CHARACTERS
+        }
+    }
+
     /** Returns the records from [index] on, [limit] at most. */
     fun from(
         index: Long,
@@ -107,6 +120,8 @@
     }
 
     private companion object {
+        /** Length of the bodies in one request (characters). */
+        const val MOST_CHARACTERS = 1_048_576
         val NO_MEMBERS = Membership(0, emptyList(), emptyList(), emptyList())
     }
 }
--- a/replication/src/test/kotlin/io/bluebellramp/replication/RaftCoreTest.kt
+++ b/replication/src/test/kotlin/io/bluebellramp/replication/RaftCoreTest.kt
@@ -1,5 +1,12 @@
 package io.bluebellramp.replication
 
+import io.bluebellramp.core.MemberId
+import io.bluebellramp.core.WireJson
+import io.bluebellramp.messages.AppendResponse
+import io.bluebellramp.messages.LogRecord
+import io.bluebellramp.messages.Membership
+import io.bluebellramp.messages.RecordKind
+import io.bluebellramp.messages.VoteResponse
 import org.junit.jupiter.api.Nested
 import kotlin.random.Random
 import kotlin.test.Test
@@ -82,7 +89,59 @@
         }
     }
 
+    @Nested
+    inner class `a new leader with records of an older term` {
+        private val peer = address("b")
+        private val members = Membership(1, listOf(address("a"), peer, address("c")), emptyList(), emptyList())
+        private val stored =
+            StoredState(
+                VoteState(MemberId("a"), term = 3, stage = FoundingStage.ACTIVE),
+                null,
+                listOf(
+                    LogRecord(1, 0, RecordKind.MEMBERSHIP, WireJson.encodeToString(members)),
+                    LogRecord(2, 2, RecordKind.COMMAND, "x".repeat(LONG_COMMAND)),
+                ),
+            )
+        private val core = RaftCore(address("a"), members.voters, false, LogSettings(), ListMachine(), stored, Random(SEED), 0.seconds)
+
+        private fun sent(output: Output) =
+            (output.atOnce + output.afterSync)
+                .filterIsInstance<Effect.Send>()
+                .filter { it.to == peer }
+                .map { it.request }
+
+        private fun answer(
+            request: PeerRequest,
+            accepted: Boolean,
+            lastIndex: Long,
+        ): List<PeerRequest> {
+            val round = (request as PeerRequest.Append).body.round
+            core.onResponse(2.seconds, peer, request, PeerResponse.Append(AppendResponse(4, round, accepted, lastIndex)))
+            return sent(core.take(2.seconds))
+        }
+
+        private fun grant(requests: List<PeerRequest>): List<PeerRequest> {
+            val response = VoteResponse(4, granted = true, stage = FoundingStage.ACTIVE)
+            core.onResponse(2.seconds, peer, requests.single(), PeerResponse.Vote(response))
+            return sent(core.take(2.seconds).also { core.onSynced(it.number) })
+        }
+
+        @Test
+        fun `commits them only with a record of its own term`() {
+            core.onTick(2.seconds)
+            val first = grant(grant(sent(core.take(2.seconds))))
+            val second = answer(first.single(), accepted = false, lastIndex = 1)
+            val third = answer(second.single(), accepted = true, lastIndex = 2)
+            assertEquals(0, core.status().commitIndex)
+            answer(third.single(), accepted = true, lastIndex = 3)
+            assertEquals(3, core.status().commitIndex)
+        }
+    }
+
     private companion object {
+        /** Longer than what fits into one request with a further record (characters). */
+        const val LONG_COMMAND = 1_100_000
+
         const val SEED = 7L
     }
 }
