--- a/replication/src/main/kotlin/io/bluebellramp/replication/LogMember.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/LogMember.kt
@@ -111,7 +111,8 @@
 
     override suspend fun propose(command: String): ProposalResult = finish { core, id -> core.onPropose(id, command) }
 
-    override suspend fun changeMembership(request: MembershipRequest): ProposalResult = finish { core, id -> core.onChange(id, request) }
+    override suspend fun changeMembership(request: MembershipRequest): ProposalResult =
+        finish { core, id -> core.onChange(clock.monotonic(), id, request) }
 
     override fun holdsMajority(): Boolean = leaseEnd?.let { clock.monotonic() < it } ?: false
 
--- a/replication/src/main/kotlin/io/bluebellramp/replication/MembershipChanges.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/MembershipChanges.kt
@@ -7,6 +7,8 @@
 import io.bluebellramp.messages.MembershipAction
 import io.bluebellramp.messages.MembershipRequest
 import io.bluebellramp.messages.RecordKind
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Changes the members, one change at a time.
@@ -23,6 +25,7 @@
         val proposal: Long,
         val request: MembershipRequest,
         val term: Long,
+        val startedAt: Duration,
         var learnerIndex: Long?,
     )
 
@@ -30,6 +33,7 @@
     private var change: Change? = null
 
     fun propose(
+        now: Duration,
         proposal: Long,
         request: MembershipRequest,
     ) {
@@ -41,12 +45,12 @@
                 else -> refusal(request)?.let { ProposalResult.Refused(it) }
             }
         if (result != null) return state.outbox.finish(proposal, result)
-        change = Change(proposal, request, state.term, null)
+        change = Change(proposal, request, state.term, now, null)
         begin(request)
     }
 
     /** Takes the next step if the last one is committed. */
-    fun advance() {
+    fun advance(now: Duration) {
         val current = change
         if (current != null && (state.role != Role.LEADER || state.term != current.term)) {
             change = null
@@ -55,7 +59,11 @@
         if (!leader.isConfirmed || !isCommitted()) return
         if (log.isJoint) return record(log.membership)
         val open = change ?: return
-        if (open.learnerIndex == null) finish(open) else promote(open)
+        when {
+            open.learnerIndex == null -> finish(open)
+            now - open.startedAt > CATCH_UP_LIMIT -> giveUp(open)
+            else -> promote(open)
+        }
     }
 
     private fun isCommitted() = log.membership.index <= state.commitIndex
@@ -82,6 +90,14 @@
         record(open.request.replaces?.let { without(grown, it) } ?: grown)
     }
 
+    /** Drops a learner that can't be reached, so that it does not block other changes. Its id may be added again. */
+    private fun giveUp(open: Change) {
+        change = null
+        record(log.membership.copy(learners = log.membership.learners.filter { it.member != open.request.member }))
+        val reason = "member ${open.request.member} did not catch up within $CATCH_UP_LIMIT"
+        state.outbox.finish(open.proposal, ProposalResult.Refused(reason))
+    }
+
     private fun finish(open: Change) {
         change = null
         val answer = WireJson.encodeToString(log.membership)
@@ -137,5 +153,8 @@
     private companion object {
         /** Records that a learner may lack when it becomes a voter. */
         const val NEARLY = 16L
+
+        /** Longest time that a learner may take to catch up. */
+        val CATCH_UP_LIMIT = 60.seconds
     }
 }
--- a/replication/src/main/kotlin/io/bluebellramp/replication/RaftCore.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/RaftCore.kt
@@ -95,9 +95,10 @@
 
     /** Proposes a change of the members; the answer is the [Effect.Finish] for [proposal]. */
     fun onChange(
+        now: Duration,
         proposal: Long,
         request: MembershipRequest,
-    ) = changes.propose(proposal, request)
+    ) = changes.propose(now, proposal, request)
 
     /** The writes of all outputs up to [number] are durable. */
     fun onSynced(number: Long) = state.sync.synced(number)
@@ -105,7 +106,7 @@
     /** Returns what to do since the last call. */
     fun take(now: Duration): Output {
         leader.flush(now)
-        changes.advance()
+        changes.advance(now)
         leader.flush(now)
         val output = state.outbox.take()
         if (output.writes.isNotEmpty()) state.sync.issued(output.number, state.log.lastIndex)
--- a/replication/src/main/kotlin/io/bluebellramp/replication/ReplicatedLog.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/ReplicatedLog.kt
@@ -26,7 +26,7 @@
     /** Leadership was lost while the proposal was under way. It may or may not be committed. */
     data object Unknown : ProposalResult
 
-    /** A membership change was refused for [reason]; nothing was proposed. */
+    /** A membership change was refused for [reason]; the voters are as before. */
     data class Refused(
         val reason: String,
     ) : ProposalResult
--- a/replication/src/test/kotlin/io/bluebellramp/replication/RaftCoreTest.kt
+++ b/replication/src/test/kotlin/io/bluebellramp/replication/RaftCoreTest.kt
@@ -2,17 +2,23 @@
 
 import io.bluebellramp.core.MemberId
 import io.bluebellramp.core.WireJson
+import io.bluebellramp.messages.AppendRequest
 import io.bluebellramp.messages.AppendResponse
 import io.bluebellramp.messages.LogRecord
 import io.bluebellramp.messages.Membership
+import io.bluebellramp.messages.MembershipAction
+import io.bluebellramp.messages.MembershipRequest
 import io.bluebellramp.messages.RecordKind
+import io.bluebellramp.messages.VoteRequest
 import io.bluebellramp.messages.VoteResponse
 import org.junit.jupiter.api.Nested
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
+import kotlin.test.assertIs
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class RaftCoreTest {
@@ -44,6 +50,43 @@
         }
     }
 
+    @Nested
+    inner class `a member that was away for hundreds of changes` {
+        @Test
+        fun `catches up by snapshot, in parts`() {
+            run(3)
+            val leader = leader()
+            val away = cluster.nodes.values.first { it !== leader }
+            cluster.crash(away)
+            repeat(CHANGES) {
+                cluster.propose(leader, "c$it")
+                cluster.runUntil(cluster.now + 20.milliseconds)
+            }
+            cluster.start(away)
+            run(2)
+            assertTrue(away.machine.restores > 0)
+            assertEquals(leader.machine.commands, away.machine.commands)
+            assertEquals(CHANGES, cluster.checker.accepted)
+        }
+    }
+
+    @Nested
+    inner class `a new member that is never reached` {
+        @Test
+        fun `is given up, and further changes go on`() {
+            run(3)
+            val results = ArrayList<ProposalResult>()
+            val missing = MembershipRequest(MembershipAction.ADD, MemberId("x"), address("x").address)
+            cluster.change(leader(), missing) { results += it }
+            run(70)
+            assertTrue("did not catch up" in assertIs<ProposalResult.Refused>(results.single()).reason)
+            cluster.add(address("y"), joining = true)
+            cluster.change(leader(), missing.copy(member = MemberId("y"), address = address("y").address)) { results += it }
+            run(10)
+            assertIs<ProposalResult.Applied>(results.last())
+        }
+    }
+
     @Nested
     inner class `a leader that was cut off` {
         @Test
@@ -138,10 +181,68 @@
         }
     }
 
+    @Nested
+    inner class `a replacement that is not confirmed` {
+        private val old = Membership(1, listOf("a", "b", "c").map(::address), emptyList(), emptyList())
+        private val new = Membership(2, listOf("a", "b", "d").map(::address), emptyList(), listOf(MemberId("c")))
+        private val stored =
+            StoredState(
+                VoteState(MemberId("a"), term = 1, stage = FoundingStage.ACTIVE),
+                null,
+                listOf(old, new).map { LogRecord(it.index, it.index - 1, RecordKind.MEMBERSHIP, WireJson.encodeToString(it)) },
+            )
+        private val core = RaftCore(address("a"), old.voters, false, LogSettings(), ListMachine(), stored, Random(SEED), 0.seconds)
+
+        private fun trials() = core.take(2.seconds).afterSync.filterIsInstance<Effect.Send>()
+
+        private fun grant(trial: Effect.Send) {
+            val response = VoteResponse(1, granted = true, stage = FoundingStage.ACTIVE)
+            core.onResponse(2.seconds, trial.to, trial.request, PeerResponse.Vote(response))
+        }
+
+        @Test
+        fun `needs the old voters too for an election`() {
+            core.onTick(2.seconds)
+            val trials = trials().associateBy { it.to.member.value }
+            assertEquals(setOf("b", "c", "d"), trials.keys)
+            grant(trials.getValue("d"))
+            assertEquals(1, core.term)
+            grant(trials.getValue("b"))
+            assertEquals(2, core.term)
+        }
+    }
+
+    @Nested
+    inner class `a retired member` {
+        private val members = Membership(5, listOf("a", "b", "d").map(::address), emptyList(), listOf(MemberId("c")))
+        private val stored =
+            StoredState(VoteState(MemberId("a"), 1, null, FoundingStage.ACTIVE), StoredSnapshot(6, 1, members, ""), emptyList())
+        private val core = RaftCore(address("a"), members.voters, false, LogSettings(), ListMachine(), stored, Random(SEED), 0.seconds)
+
+        private fun answer(request: PeerRequest): PeerResponse {
+            core.onRequest(2.seconds, 1, request)
+            val reply = core.take(2.seconds).afterSync.single()
+            return assertIs<Effect.Reply>(reply).response
+        }
+
+        @Test
+        fun `gets no vote, no acknowledgement, and changes no term`() {
+            val vote = VoteRequest(9, MemberId("c"), 99, 8, preVote = false)
+            assertFalse(assertIs<PeerResponse.Vote>(answer(PeerRequest.Vote(vote))).body.granted)
+            val append = AppendRequest(9, address("c"), 1, 6, 1, emptyList(), 6)
+            assertEquals(
+                AppendResponse(0, 0, accepted = false, lastIndex = 0),
+                assertIs<PeerResponse.Append>(answer(PeerRequest.Append(append))).body,
+            )
+            assertEquals(1, core.term)
+        }
+    }
+
     private companion object {
         /** Longer than what fits into one request with a further record (characters). */
         const val LONG_COMMAND = 1_100_000
 
         const val SEED = 7L
+        const val CHANGES = 300
     }
 }
