--- a/control/src/main/kotlin/io/bluebellramp/control/ClaimDesk.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ClaimDesk.kt
@@ -11,14 +11,19 @@
 import kotlin.time.Duration
 import io.bluebellramp.messages.ClaimTable as ClaimCopy
 
-/** Judges claims in the committed membership of the log. Safe for concurrent use. */
+/**
+ * Judges claims in the committed membership of the log. Safe for concurrent use.
+ *
+ * @param isFounder see [ClaimTable]
+ */
 class ClaimDesk(
     private val self: MemberId,
     private val log: ReplicatedLog,
     clock: Clock,
     life: Duration,
+    isFounder: Boolean = false,
 ) {
-    private val table = ClaimTable(self, clock, life)
+    private val table = ClaimTable(self, clock, life, isFounder)
     private var joined: ClaimMembers? = null
 
     /** Returns the committed voting members, or null until this member knows them. */
--- a/control/src/main/kotlin/io/bluebellramp/control/ClaimGap.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ClaimGap.kt
@@ -22,10 +22,13 @@
  *
  * The gap is closed once, in each membership since it was last closed, the members whose grants are not known are fewer than
  * a majority, because then every majority shows in what is known. It is also closed once every id up to [floor] has expired.
+ *
+ * @param isFounder true if the member founds a new cluster, in which nobody has granted anything
  */
 internal class ClaimGap(
     private val self: MemberId,
     private val clock: Clock,
+    private val isFounder: Boolean = false,
 ) {
     private val started = clock.monotonic()
     private var memberships = emptyList<Set<MemberId>>()
@@ -59,7 +62,8 @@
     ) {
         if (self !in voters) return learnFrom(voters)
         when {
-            state == State.NEW || memberships.isEmpty() -> memberships = listOf(voters)
+            state == State.NEW -> memberships = listOf(voters)
+            memberships.isEmpty() -> start(voters)
             isClosed() -> reopen(voters)
             else -> carry(voters)
         }
@@ -104,6 +108,11 @@
         memberships = listOf(voters)
     }
 
+    private fun start(voters: Set<MemberId>) {
+        memberships = listOf(voters)
+        if (isFounder) close()
+    }
+
     private fun reopen(voters: Set<MemberId>) {
         memberships = listOf(memberships.last(), voters)
         known = setOf(self)
--- a/control/src/main/kotlin/io/bluebellramp/control/ClaimTable.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ClaimTable.kt
@@ -27,15 +27,18 @@
  *
  * @param self this member
  * @param life longest life of a lease, in which an entry may still count in an older membership
+ * @param isFounder true if the data folder was empty and the member is not joining. The log lets such a member learn of a
+ *   committed membership only if the cluster is new, so nobody has granted anything
  */
 class ClaimTable(
     private val self: MemberId,
     private val clock: Clock,
     private val life: Duration,
+    isFounder: Boolean = false,
 ) {
     private val store = ClaimStore()
     private val holders = HashMap<ClaimHolder, ClaimHolder>()
-    private val gap = ClaimGap(self, clock)
+    private val gap = ClaimGap(self, clock, isFounder)
     private var voters = emptySet<MemberId>()
     private var version = NO_VERSION
     private var forgottenBefore = Instant.MIN
--- a/control/src/main/kotlin/io/bluebellramp/control/Control.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/Control.kt
@@ -10,17 +10,22 @@
 import io.bluebellramp.runtime.Health
 import kotlin.time.Duration.Companion.milliseconds
 
-/** What one control process is made of. */
+/**
+ * What one control process is made of.
+ *
+ * @param isFounder see [ClaimTable]
+ */
 class Control(
     private val settings: ControlSettings,
     val log: ReplicatedLog,
     val machine: ConfigurationMachine,
     clock: Clock,
+    isFounder: Boolean = false,
 ) : Health {
     private val life = settings.permitLifeMillis.milliseconds
 
     /** Judges claims. */
-    val claims = ClaimDesk(settings.member, log, clock, life)
+    val claims = ClaimDesk(settings.member, log, clock, life, isFounder)
 
     /** Answers lease requests. */
     val leases = LeaseDesk(log, machine, clock, life) { claims.members() }
--- a/control/src/main/kotlin/io/bluebellramp/control/ControlProgram.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ControlProgram.kt
@@ -50,6 +50,7 @@
     fun start() {
         server.start(wait = false)
         scope.launch { watchElections() }
+        scope.launch { control.leases.noteRevisions() }
         scope.launch { copyClaims() }
     }
 
--- a/control/src/main/kotlin/io/bluebellramp/control/LeaseDesk.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/LeaseDesk.kt
@@ -8,6 +8,7 @@
 import io.bluebellramp.messages.LeaseRequest
 import io.bluebellramp.messages.LeaseResponse
 import io.bluebellramp.replication.ReplicatedLog
+import io.bluebellramp.replication.Role
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
@@ -28,6 +29,11 @@
     private val table = LeaseTable(clock, life)
     private val longestHold = life / HOLD_SHARE
 
+    /** Notes each accepted revision until it is cancelled. Run it at every member. */
+    suspend fun noteRevisions() {
+        machine.configuration.collect { view -> synchronized(table) { table.accept(view.revision) } }
+    }
+
     /**
      * Answers [request], at once or when the revision changes.
      *
@@ -88,9 +94,10 @@
     private fun refusal() = LeaseResponse(granted = false, leader = log.status().leader?.address)
 
     private fun <T> onTable(action: (LeaseTable) -> T): T {
-        val term = log.status().term
+        // A candidate has not won its term yet, and the old leader may go on granting leases until it has.
+        val status = log.status()
         return synchronized(table) {
-            table.lead(term)
+            if (status.role == Role.LEADER) table.lead(status.term)
             action(table)
         }
     }
--- a/control/src/main/kotlin/io/bluebellramp/control/LeaseTable.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/LeaseTable.kt
@@ -7,6 +7,7 @@
 import io.bluebellramp.messages.EntryPeer
 import io.bluebellramp.messages.EntryStatus
 import io.bluebellramp.messages.LeaseRequest
+import java.util.TreeMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -25,6 +26,8 @@
     private val entries = LinkedHashMap<EntryKey, EntryLeases>()
     private var term = NO_TERM
     private var quietUntil = Duration.ZERO
+    private val acceptances = TreeMap<Revision, Duration>()
+    private var outlived: Revision? = null
 
     /**
      * Notes that this member leads in [term].
@@ -38,6 +41,15 @@
         quietUntil = clock.monotonic() + life
     }
 
+    /**
+     * Notes that [revision] is accepted. Call it at every member, so that it is known after an election.
+     *
+     * No lease under an older revision is granted from then on, so one life later the revision is in force by that alone.
+     */
+    fun accept(revision: Revision) {
+        acceptances.putIfAbsent(revision, clock.monotonic())
+    }
+
     /** Notes [request], which arrived at [arrived] on the clock. */
     fun report(
         request: LeaseRequest,
@@ -64,11 +76,23 @@
      */
     fun revisionInForce(accepted: Revision): Revision? {
         val now = clock.monotonic()
-        if (now < quietUntil) return null
-        return entries.values
-            .mapNotNull { it.oldestLease(now) }
-            .plus(accepted)
-            .min()
+        val outlived = outlived(now)
+        if (now < quietUntil) return outlived
+        val confirmed =
+            entries.values
+                .mapNotNull { it.oldestLease(now) }
+                .plus(accepted)
+                .min()
+        return if (outlived == null) confirmed else maxOf(outlived, confirmed)
+    }
+
+    /** Returns the highest revision that was accepted at least one life ago. */
+    private fun outlived(now: Duration): Revision? {
+        while (acceptances.isNotEmpty() && acceptances.firstEntry().value + life <= now) {
+            val next = acceptances.pollFirstEntry().key
+            outlived = outlived?.let { maxOf(it, next) } ?: next
+        }
+        return outlived
     }
 
     /** Tells whether [revision] is in force, if [accepted] is the accepted one. */
--- a/control/src/main/kotlin/io/bluebellramp/control/Main.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/Main.kt
@@ -19,6 +19,8 @@
 import kotlinx.coroutines.runBlocking
 import org.tinylog.kotlin.Logger
 import java.nio.file.Path
+import kotlin.io.path.listDirectoryEntries
+import kotlin.io.path.notExists
 import kotlin.time.Duration.Companion.milliseconds
 
 private const val NAME = "bluebellramp-control"
@@ -38,14 +40,17 @@
     val key = SharedKey.read(settings.keyFile, settings.listen.host)
     val registry = PrometheusRegistry()
     val machine = ConfigurationMachine()
+    val isFounder = !settings.joining && isEmpty(Path.of(settings.dataFolder))
     val member = logMember(settings, key, machine, registry)
     val start = runBlocking { member.start() }
     check(start is LogStart.Started) { "the data folder ${settings.dataFolder} cannot be used: ${(start as LogStart.Refused).error}" }
-    val control = Control(settings, member, machine, SystemClock)
+    val control = Control(settings, member, machine, SystemClock, isFounder)
     registerMetrics(control, registry)
     return ControlProgram(settings, key, control, registry, closeLog = member::close).also { it.start() }
 }
 
+private fun isEmpty(folder: Path): Boolean = folder.notExists() || folder.listDirectoryEntries().isEmpty()
+
 private fun logMember(
     settings: ControlSettings,
     key: SharedKey?,
--- a/control/src/test/kotlin/io/bluebellramp/control/ClaimTableTest.kt
+++ b/control/src/test/kotlin/io/bluebellramp/control/ClaimTableTest.kt
@@ -134,6 +134,20 @@
         }
     }
 
+    @Nested
+    inner class `A founder of a new cluster` {
+        @Test
+        fun `judges at once, and again only what it copied after the members changed`() {
+            val founder = ClaimTable(MemberId("m1"), clock, LIFE, isFounder = true).apply { join(1, members("m1", "m2", "m3")) }
+            val id = submission()
+            assertEquals(true, founder.ask(id, "a")?.granted)
+            founder.join(2, members("m1", "m2", "m4"))
+            assertEquals(ClaimVerdict(granted = false), founder.ask(id, "a", version = 2))
+            clock.elapsed += ClaimTable.CLAIM_ROUND
+            assertEquals(members("m2", "m4"), founder.missing())
+        }
+    }
+
     @Nested
     inner class `A member that restarted` {
         @Test
--- a/control/src/test/kotlin/io/bluebellramp/control/ClaimWorld.kt
+++ b/control/src/test/kotlin/io/bluebellramp/control/ClaimWorld.kt
@@ -57,7 +57,8 @@
 ) {
     val clock = ManualClock()
     val time = Timeline(clock)
-    val members = members("m1", "m2", "m3").associateWith { ClaimTable(it, clock, LIFE) as ClaimTable? }.toMutableMap()
+    private val isFounder = random.nextBoolean()
+    val members = members("m1", "m2", "m3").associateWith { ClaimTable(it, clock, LIFE, isFounder) as ClaimTable? }.toMutableMap()
     private var current = VoterSet(1, members.keys.toSet())
     private val dropOneOf = listOf(3, 12).random(random)
     private val names = generateSequence(4) { it + 1 }.map { MemberId("m$it") }.iterator()
--- a/control/src/test/kotlin/io/bluebellramp/control/FakeLog.kt
+++ b/control/src/test/kotlin/io/bluebellramp/control/FakeLog.kt
@@ -24,6 +24,8 @@
     var leads = true
     var losesAnswers = false
     var leader: MemberAddress? = self
+    var term = 1L
+    var role: Role? = null
     private var index = 1L
 
     override suspend fun propose(command: String): ProposalResult {
@@ -38,8 +40,8 @@
 
     override fun status() =
         LogStatus(
-            role = if (leads) Role.LEADER else Role.FOLLOWER,
-            term = 1,
+            role = role ?: if (leads) Role.LEADER else Role.FOLLOWER,
+            term = term,
             leader = leader,
             commitIndex = index,
             appliedIndex = index,
--- a/control/src/test/kotlin/io/bluebellramp/control/LeaseTableTest.kt
+++ b/control/src/test/kotlin/io/bluebellramp/control/LeaseTableTest.kt
@@ -99,6 +99,16 @@
             assertFalse(isInForce(2))
         }
 
+        @Test
+        fun `one life after acceptance, also when the leader changes`() {
+            table.accept(Revision(2))
+            clock.elapsed += 1500.milliseconds
+            table.lead(term = 2)
+            assertNull(table.revisionInForce(Revision(3)))
+            clock.elapsed += 500.milliseconds
+            assertEquals(Revision(2), table.revisionInForce(Revision(3)))
+        }
+
         @Test
         fun `only one life after an election`() {
             table.lead(term = 4)
