--- a/control/src/test/kotlin/io/bluebellramp/control/ClaimTableTest.kt
+++ b/control/src/test/kotlin/io/bluebellramp/control/ClaimTableTest.kt
@@ -134,6 +134,61 @@
         }
     }
 
+    @Nested
+    inner class `When the members change` {
+        private val before = members("m1", "m2", "m3")
+        private val after = members("m1", "m2", "m4")
+        private val tables = members("m1", "m2", "m4").associateWith { ClaimTable(it, clock, LIFE, isFounder = true) }
+        private val old = submission()
+
+        private fun of(name: String) = tables.getValue(MemberId(name))
+
+        init {
+            tables.values.forEach { it.join(1, before) }
+            of("m1").ask(old, "a")
+        }
+
+        @Test
+        fun `a new member judges an old id only once it copied the others in the new membership`() {
+            clock.elapsed += ClaimTable.CLAIM_ROUND
+            of("m4").join(2, after)
+            assertEquals(ClaimVerdict(granted = false), of("m4").ask(old, "b", version = 2))
+            assertFalse(of("m4").copyFrom("m1", of("m1")), "it may still grant in the old membership")
+            listOf("m1", "m2").forEach { of(it).join(2, after) }
+            listOf("m1", "m2").forEach { assertTrue(of("m4").copyFrom(it, of(it))) }
+            assertEquals(holder("a"), of("m4").ask(old, "b", version = 2)?.holder)
+        }
+
+        @Test
+        fun `ids made later are judged once no entry can count in the old membership`() {
+            of("m2").join(2, after)
+            clock.elapsed += ClaimTable.FUTURE_SLACK + LIFE
+            assertEquals(ClaimVerdict(granted = false), of("m2").ask(submission(), "b", version = 2))
+            clock.elapsed += ClaimTable.CLAIM_ROUND + 1.seconds
+            assertEquals(true, of("m2").ask(submission(), "b", version = 2)?.granted)
+        }
+
+        @Test
+        fun `a member that restarted copies only from members that have copied all themselves`() {
+            listOf("m1", "m2").forEach { of(it).join(2, after) }
+            val restarted = ClaimTable(MemberId("m4"), clock, LIFE).apply { join(2, after) }
+            clock.elapsed += ClaimTable.CLAIM_ROUND
+            assertFalse(restarted.copyFrom("m1", of("m1")))
+            assertTrue(of("m1").copyFrom("m2", of("m2")))
+            assertTrue(restarted.copyFrom("m1", of("m1")))
+        }
+
+        @Test
+        fun `again before the claims were copied, both old memberships still count`() {
+            of("m1").join(2, after)
+            of("m1").join(3, members("m1", "m4", "m5"))
+            clock.elapsed += ClaimTable.CLAIM_ROUND
+            val fresh = ClaimTable(MemberId("m5"), clock, LIFE, isFounder = true).apply { join(3, members("m1", "m4", "m5")) }
+            assertTrue(of("m1").copyFrom("m5", fresh))
+            assertEquals(ClaimVerdict(granted = false), of("m1").ask(old, "b", version = 3))
+        }
+    }
+
     @Nested
     inner class `A founder of a new cluster` {
         @Test
