Links to entries end when a ping is not answered

Cause: a connection whose other end has gone without closing it would keep its credits. Change: a ping each second, answer within 3 s.

--- a/agent/src/main/kotlin/io/bluebellramp/agent/EntryLink.kt
+++ b/agent/src/main/kotlin/io/bluebellramp/agent/EntryLink.kt
@@ -14,13 +14,29 @@
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
-/** One WebSocket connection to the entry at [address]. Frames that wait are merged into one. */
+private val PING_PERIOD = 1.seconds
+
+/** Longer than the freeze of an entry that is worth waiting for, and shorter than what a caller would wait. */
+private val PING_PATIENCE = 3.seconds
+
+/**
+ * One WebSocket connection to the entry at [address]. Frames that wait are merged into one.
+ *
+ * An entry that does not answer a ping has gone, even if its machine never closed the connection.
+ *
+ * @param pingPeriod time between pings
+ * @param pingPatience how long the answer may take
+ */
 internal class EntryLink(
     val id: ConnectionId,
     private val address: Address,
     private val client: HttpClient,
     private val metrics: AgentMetrics,
+    private val pingPeriod: Duration = PING_PERIOD,
+    private val pingPatience: Duration = PING_PATIENCE,
 ) {
     private val queue = Channel<AgentFrame>(Channel.UNLIMITED)
     private val closed = Channel<Unit>(Channel.CONFLATED)
@@ -45,6 +61,8 @@
         try {
             client.webSocket("ws://$address/agents") {
                 wasOpen = true
+                pingIntervalMillis = pingPeriod.inWholeMilliseconds
+                timeoutMillis = pingPatience.inWholeMilliseconds
                 opened()
                 val sender = launch { sendAll() }
                 for (frame in incoming) if (frame is Frame.Text) received(decode(frame))
