Seeded runs of the agent depend on their seed alone

Cause: one run of seeds 1..1000 failed at seed 258 (tasks without a credit at the end), and the same seed passed alone: a hash map keyed by identity gave another order of links in each run. Change: the links keep the order of insertion; the time without faults counts from the last fault, also if frozen clocks had run ahead; a return of no credits is no answer to a recall any more, so that such an entry can't keep its credits by it.

--- a/agent/src/main/kotlin/io/bluebellramp/agent/CreditAccount.kt
+++ b/agent/src/main/kotlin/io/bluebellramp/agent/CreditAccount.kt
@@ -31,9 +31,10 @@
         return true
     }
 
-    /** Takes back credits that the entry returned. */
+    /** Takes back credits that the entry returned. None is no answer to a recall: the wait for one goes on. */
     fun returned(credits: Int) {
-        unspent = (unspent - credits.coerceAtLeast(0)).coerceAtLeast(0)
+        if (credits <= 0) return
+        unspent = (unspent - credits).coerceAtLeast(0)
         recalling = 0
     }
 
--- a/agent/src/test/kotlin/io/bluebellramp/agent/AgentSimulation.kt
+++ b/agent/src/test/kotlin/io/bluebellramp/agent/AgentSimulation.kt
@@ -50,7 +50,7 @@
     private val clock = ManualClock(onRead = { if (chaos && inStep && random.nextInt(4000) == 0) now += 3.seconds })
     private val events = PriorityQueue<Event>(compareBy<Event> { it.at }.thenBy { it.order })
     private val entries = List(3) { SimulatedEntry("e$it", random).also(SimulatedEntry::restart) }
-    private val links = HashMap<SimulatedEntry, Link>()
+    private val links = LinkedHashMap<SimulatedEntry, Link>()
     private val sent = ArrayList<Dispatch>()
     private val requested = HashMap<Long, Duration>()
     private val announcement = TargetAnnouncement(TargetId("t1"), ServiceId("render"), Address("127.0.0.1:1"))
@@ -76,7 +76,7 @@
         every(60.milliseconds) { if (chaos) entries.forEach { arrive(it) } }
         runUntil(CHAOS)
         calm()
-        runUntil(CHAOS + CALM)
+        runUntil(clock.now + CALM)
         checkEnd()
         return history
     }
