--- a/entry/src/main/kotlin/io/bluebellramp/entry/AgentEndpoint.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/AgentEndpoint.kt
@@ -53,6 +53,8 @@
         val link = LinkId(lastLink.incrementAndGet())
         val connection = Connection(session)
         connections[link] = connection
+        session.pingIntervalMillis = PING_MILLIS
+        session.timeoutMillis = SILENCE_MILLIS
         val sender = session.launch { send(link, connection) }
         try {
             for (frame in session.incoming) if (frame is Frame.Text) receive(link, frame.readText())
@@ -88,5 +90,9 @@
 
     private companion object {
         const val MAX_REASON = 100
+        const val PING_MILLIS = 500L
+
+        /** An agent that answers no ping for this long is disconnected, so that it gets no more work. */
+        const val SILENCE_MILLIS = 2_000L
     }
 }
--- a/entry/src/test/kotlin/io/bluebellramp/entry/EntryProgramTest.kt
+++ b/entry/src/test/kotlin/io/bluebellramp/entry/EntryProgramTest.kt
@@ -64,8 +64,9 @@
 
     private fun agent(
         name: String,
+        entry: Address = address,
         run: suspend (io.bluebellramp.messages.Dispatch) -> io.bluebellramp.messages.TaskOutcome = { it.done() },
-    ) = FakeAgent(address, name, run = run).start().also { agents += it }
+    ) = FakeAgent(entry, name, run = run).start().also { agents += it }
 
     @AfterEach
     fun stop() {
@@ -146,11 +147,13 @@
         @Test
         fun `gets the answer of the owner from another entry`() =
             test {
-                agent("a1") {
-                    delay(100)
-                    it.done()
-                }
                 val other = freeAddress()
+                listOf("a1" to address, "a2" to other).forEach { (name, entry) ->
+                    agent(name, entry) {
+                        delay(100)
+                        it.done()
+                    }
+                }
                 val second = start("e2", other)
                 while (!second.isReady()) delay(5)
                 val job = job()
@@ -186,6 +189,20 @@
                 assertEquals(AnswerOutcome.COMPLETE, http.get("http://$address/v1/jobs/${job.submission}").answer().outcome)
             }
 
+        @Test
+        fun `gets the answer to a job that takes longer than a request may take to arrive`() =
+            test {
+                val agent =
+                    agent("a1") {
+                        delay(11_000)
+                        it.done()
+                    }
+                val response = post(job(1))
+                assertEquals(HttpStatusCode.OK, response.status)
+                assertEquals(AnswerOutcome.COMPLETE, response.answer().outcome)
+                assertEquals(1, agent.frames.count { it.hello != null }, "connections of an agent that is silent for long")
+            }
+
         @Test
         fun `gets not run for a cancelled job of which nothing started`() =
             test {
--- a/entry/src/test/kotlin/io/bluebellramp/entry/FakeAgent.kt
+++ b/entry/src/test/kotlin/io/bluebellramp/entry/FakeAgent.kt
@@ -28,7 +28,9 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import java.io.IOException
 import java.util.concurrent.CopyOnWriteArrayList
 
 /** An agent with a target that answers each task with [run]. It grants its slots and grants each again after its task. */
@@ -46,10 +48,20 @@
     val incarnation = IncarnationId.next()
 
     fun start(): FakeAgent {
-        scope.launch { http.webSocket("ws://$entry/agents") { serve() } }
+        scope.launch {
+            while (!connect()) delay(RETRY_MILLIS)
+        }
         return this
     }
 
+    private suspend fun connect(): Boolean =
+        try {
+            http.webSocket("ws://$entry/agents") { serve() }
+            true
+        } catch (_: IOException) {
+            false
+        }
+
     private suspend fun WebSocketSession.serve() {
         reply(
             AgentFrame(
@@ -84,6 +96,10 @@
         scope.cancel()
         http.close()
     }
+
+    private companion object {
+        const val RETRY_MILLIS = 20L
+    }
 }
 
 /** The outcome of a task that ran to its end. */
