--- a/entry/src/test/kotlin/io/bluebellramp/entry/EntryCoreTest.kt
+++ b/entry/src/test/kotlin/io/bluebellramp/entry/EntryCoreTest.kt
@@ -144,7 +144,13 @@
             driver.grantsClaims = false
             driver.pass(2_100)
             driver.lease()
-            driver.step { claimed(id, ClaimResult.Held(ClaimHolder(EntryId("e2"), IncarnationId("run-9"), Address("127.0.0.1:2")), "d"), it) }
+            driver.step {
+                claimed(
+                    id,
+                    ClaimResult.Held(ClaimHolder(EntryId("e2"), IncarnationId("run-9"), Address("127.0.0.1:2")), "d"),
+                    it,
+                )
+            }
             assertEquals(AnswerOutcome.FAILED to ErrorCode.OWNER_LOST, driver.answer(id)?.outcome to driver.answer(id)?.error?.code)
             assertNull(driver.answer(id)?.startedTasks)
             driver.report(link, dispatches, TaskStatus.DONE, credits = 1)
