Entry: a stop waits for every response; spec of the takeover

Cause: the stop looked at submissions only, not at responses being written, and a kept connection could be cut between two calls. Change: calls in flight are counted, an entry that is leaving answers with `Connection: close`, a spec drives the takeover by hand.

--- a/entry/src/main/kotlin/io/bluebellramp/entry/CallerApi.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/CallerApi.kt
@@ -7,14 +7,17 @@
 import io.bluebellramp.messages.ErrorBody
 import io.bluebellramp.messages.ErrorCode
 import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
+import io.ktor.server.response.header
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.Route
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -43,13 +46,30 @@
     private val reader: SubmissionReader,
     private val metrics: CallMetrics,
     private val bodyBytes: Long,
+    private val isLeaving: () -> Boolean,
 ) {
+    private val inFlight = AtomicInteger()
+
+    /** True if every call has its whole response. */
+    val isIdle get() = inFlight.get() == 0
+
     /** Adds the routes. */
     fun Route.calls() {
-        post("/v1/jobs") { call.submit(reader::job) }
-        post("/v1/requests") { call.submit(reader::request) }
-        get("/v1/jobs/{id}") { call.find() }
-        post("/v1/jobs/{id}/cancel") { call.cancel() }
+        post("/v1/jobs") { call.counted { submit(reader::job) } }
+        post("/v1/requests") { call.counted { submit(reader::request) } }
+        get("/v1/jobs/{id}") { call.counted { find() } }
+        post("/v1/jobs/{id}/cancel") { call.counted { cancel() } }
+    }
+
+    /** A caller of an entry that is leaving is told to use its connection no more, so that its next call is not cut. */
+    private suspend fun ApplicationCall.counted(serve: suspend ApplicationCall.() -> Unit) {
+        inFlight.incrementAndGet()
+        try {
+            if (isLeaving()) response.header(HttpHeaders.Connection, "close")
+            serve()
+        } finally {
+            inFlight.decrementAndGet()
+        }
     }
 
     private suspend fun ApplicationCall.submit(read: (String) -> ReadResult) {
--- a/entry/src/main/kotlin/io/bluebellramp/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/EntryProgram.kt
@@ -19,6 +19,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -50,7 +51,14 @@
     private val peers = PeerClient(http, shell, scope)
     private val leases = LeaseClient(http, settings.controls, clock, shell)
     private val decisions = DecisionLog(settings.entry)
-    private val callers = CallerApi(shell, SubmissionReader(clock), CallMetrics(clock, registry), settings.bodyBytes)
+    private val callers =
+        CallerApi(
+            shell = shell,
+            reader = SubmissionReader(clock),
+            metrics = CallMetrics(clock, registry),
+            bodyBytes = settings.bodyBytes,
+            isLeaving = { isLeaving },
+        )
     private val server =
         httpServer(settings.listen, this, registry, key) {
             with(callers) { calls() }
@@ -82,6 +90,7 @@
             delay(settings.drainMillis.milliseconds)
             shell.use { leave() }
             while (!shell.use { isIdle }) delay(IDLE_POLL)
+            withTimeoutOrNull(STOP_TIMEOUT) { while (!callers.isIdle) delay(IDLE_POLL) }
             delay(LAST_RESPONSES)
             leasing?.cancel()
             leases.leave()
--- a/entry/src/test/kotlin/io/bluebellramp/entry/CoreDriver.kt
+++ b/entry/src/test/kotlin/io/bluebellramp/entry/CoreDriver.kt
@@ -46,6 +46,7 @@
     var now = Duration.ZERO
     var grantsClaims = true
     val claims = ArrayList<Action.Claim>()
+    val releases = ArrayList<Action.Release>()
     val replies = LinkedHashMap<SubmissionId, Reply>()
     private var ids = 0L
 
@@ -53,6 +54,7 @@
         core.block(now)
         val actions = core.take()
         actions.filterIsInstance<Action.Deliver>().forEach { replies[it.submission] = it.reply }
+        releases += actions.filterIsInstance<Action.Release>()
         actions.filterIsInstance<Action.Claim>().forEach { claim ->
             claims += claim
             if (grantsClaims) step { claimed(claim.submission, ClaimResult.Granted, it) }
--- a/entry/src/test/kotlin/io/bluebellramp/entry/EntryCoreTest.kt
+++ b/entry/src/test/kotlin/io/bluebellramp/entry/EntryCoreTest.kt
@@ -133,6 +133,42 @@
         }
     }
 
+    @Nested
+    inner class `An entry that joined an owner which is gone` {
+        private fun held(entry: String) =
+            ClaimResult.Held(ClaimHolder(EntryId(entry), IncarnationId("run-$entry"), Address("127.0.0.1:2")), "d")
+
+        private fun lookup(id: SubmissionId) = driver.core.lookup(id)
+
+        @Test
+        fun `takes over after 3 s, says that the outcome is unknown, and never claims it for itself`() {
+            driver.grantsClaims = false
+            driver.lease()
+            val id = driver.submit()
+            driver.step { claimed(id, held("e8"), it) }
+            repeat(32) {
+                driver.pass(100)
+                driver.lease()
+                driver.step { now -> followed(id, FollowResult.NoAnswer, now) }
+                assertEquals(
+                    if (it < 31) null else "run-e8",
+                    driver.claims
+                        .last()
+                        .takeover
+                        ?.value,
+                    "after ${it + 1} tries",
+                )
+            }
+            val released = driver.releases.size
+            assertIs<Lookup.Lost>(lookup(id), "others are told at once")
+            driver.step { claimed(id, held("e9"), it) }
+            driver.step { followed(id, FollowResult.NotOwner, it) }
+            assertEquals(AnswerOutcome.FAILED to ErrorCode.OWNER_LOST, driver.answer(id)?.outcome to driver.answer(id)?.error?.code)
+            driver.step { releaseUnknown(id) }
+            assertEquals(2 to released, driver.claims.size to driver.releases.size)
+        }
+    }
+
     @Nested
     inner class `An owner that was taken over` {
         @Test
