--- a/replication/src/main/kotlin/io/bluebellramp/replication/MemberState.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/MemberState.kt
@@ -94,15 +94,25 @@
 
     /** A change of the voters that is not confirmed stays in the log: a snapshot would hide that it needs both majorities. */
     private fun compact() {
-        if (log.isJoint || appliedIndex - log.snapshotIndex < settings.snapshotRecords) return
+        if (log.isJoint || appliedIndex - log.snapshotIndex < snapshotRecords()) return
         val term = checkNotNull(log.termAt(appliedIndex))
         val snapshot = StoredSnapshot(appliedIndex, term, log.membershipAt(appliedIndex), machine.snapshot())
         log.restart(snapshot)
         outbox.write(StorageWrite.Snapshot(snapshot, log.from(appliedIndex + 1)))
     }
 
+    /** Each member takes its snapshots at other indexes, so that a majority goes on syncing records meanwhile. */
+    private fun snapshotRecords(): Int {
+        val position = log.membership.voters.indexOfFirst { it.member == id }
+        return settings.snapshotRecords + settings.snapshotRecords * (position + 1) / SNAPSHOT_SPREAD
+    }
+
     private fun abandon() {
         pending.values.forEach { outbox.finish(it, ProposalResult.Unknown) }
         pending.clear()
     }
+
+    private companion object {
+        const val SNAPSHOT_SPREAD = 8
+    }
 }
--- a/replication/src/test/kotlin/io/bluebellramp/replication/FakeCluster.kt
+++ b/replication/src/test/kotlin/io/bluebellramp/replication/FakeCluster.kt
@@ -8,13 +8,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Chances and delays of the fake network. */
-internal class Chaos(
-    val drop: Double,
-    val twice: Double,
-    val late: Double,
-)
-
 /** Members in virtual time over a fake network and fake disks. All chance comes from [random]. */
 internal class FakeCluster(
     val random: Random,
@@ -29,7 +22,7 @@
         val offset = random.nextInt(100_000).milliseconds
         val rate = 0.985 + random.nextDouble() * 0.03
         var core: RaftCore? = null
-        var machine = CheckedMachine()
+        var machine = CheckedMachine(checker)
         var run = 0
         var frozenUntil = Duration.ZERO
         var leaseEnd: Duration? = null
@@ -44,34 +37,13 @@
         val holdsMajority get() = leaseEnd?.let { time < it } ?: false
     }
 
-    inner class CheckedMachine : StateMachine {
-        var commands = ArrayList<Pair<Long, String>>()
-        var restores = 0
-
-        override fun apply(
-            index: Long,
-            command: String,
-        ): String {
-            checker.applied(commands.size, index, command)
-            commands += index to command
-            return command
-        }
-
-        override fun snapshot() = commands.joinToString("\n") { "${it.first} ${it.second}" }
-
-        override fun restore(snapshot: String) {
-            restores++
-            commands = ArrayList()
-            snapshot.lines().filter { it.isNotEmpty() }.forEach { apply(it.substringBefore(' ').toLong(), it.substringAfter(' ')) }
-        }
-    }
-
     private class Event(
         val at: Duration,
         val order: Long,
         val action: () -> Unit,
     )
 
+    val checker = HistoryChecker()
     private val settings = LogSettings(electionMillis = 400, heartbeatMillis = 80, snapshotRecords = 15, snapshotPart = 100)
     private val events = PriorityQueue(compareBy<Event> { it.at }.thenBy { it.order })
     private val founding = (0 until founders).map { address(('a' + it).toString()) }
@@ -79,7 +51,6 @@
     private var numbers = 0L
     val blocked = HashSet<Pair<MemberId, MemberId>>()
     val nodes = LinkedHashMap<MemberId, Node>()
-    val checker = HistoryChecker()
     var now = Duration.ZERO
         private set
 
@@ -97,7 +68,7 @@
 
     fun start(node: Node) {
         if (node.core != null) return
-        node.machine = CheckedMachine()
+        node.machine = CheckedMachine(checker)
         node.core = RaftCore(node.address, founding, node.joining, settings, node.machine, node.disk.state, random, node.time)
         tick(node)
     }
