--- a/agent/src/test/kotlin/io/bluebellramp/agent/AgentSimulation.kt
+++ b/agent/src/test/kotlin/io/bluebellramp/agent/AgentSimulation.kt
@@ -17,6 +17,8 @@
 import io.bluebellramp.messages.Permit
 import io.bluebellramp.messages.TargetAnnouncement
 import io.bluebellramp.messages.TaskReference
+import io.bluebellramp.placement.DemandGrantPolicy
+import io.bluebellramp.placement.Placement
 import java.util.PriorityQueue
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -48,7 +50,7 @@
     private val clock = ManualClock(onRead = { if (chaos && inStep && random.nextInt(4000) == 0) now += 3.seconds })
     private val events = PriorityQueue<Event>(compareBy<Event> { it.at }.thenBy { it.order })
     private val entries = List(3) { SimulatedEntry("e$it", random).also(SimulatedEntry::restart) }
-    private val links = HashMap<SimulatedEntry, Link>()
+    private val links = LinkedHashMap<SimulatedEntry, Link>()
     private val sent = ArrayList<Dispatch>()
     private val requested = HashMap<Long, Duration>()
     private val announcement = TargetAnnouncement(TargetId("t1"), ServiceId("render"), Address("127.0.0.1:1"))
@@ -74,7 +76,7 @@
         every(60.milliseconds) { if (chaos) entries.forEach { arrive(it) } }
         runUntil(CHAOS)
         calm()
-        runUntil(CHAOS + CALM)
+        runUntil(clock.now + CALM)
         checkEnd()
         return history
     }
@@ -285,7 +287,8 @@
         requested.clear()
         history.restarted()
         incarnation = IncarnationId("a.$agentRun")
-        core = AgentCore(AgentHello(AgentId("a1"), incarnation, SiteId("s1"), ZoneId("z1")), clock)
+        val hello = AgentHello(AgentId("a1"), incarnation, SiteId("s1"), ZoneId("z1"))
+        core = AgentCore(hello, clock, policy = if (random.nextBoolean()) Placement.grants() else DemandGrantPolicy())
     }
 
     private fun delay() = if (chaos && random.nextInt(20) == 0) random.nextLong(1500).milliseconds else random.nextLong(1, 5).milliseconds
