--- a/agent/src/main/kotlin/io/bluebellramp/agent/EntryLink.kt
+++ b/agent/src/main/kotlin/io/bluebellramp/agent/EntryLink.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
+import org.tinylog.kotlin.Logger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -68,8 +69,9 @@
                 for (frame in incoming) if (frame is Frame.Text) received(decode(frame))
                 sender.cancel()
             }
-        } catch (_: Exception) {
+        } catch (e: Exception) {
             currentCoroutineContext().ensureActive()
+            Logger.warn("link to entry $address: ${e.message ?: e.javaClass.simpleName}")
         } finally {
             closed.close()
         }
