--- a/control/src/main/kotlin/io/bluebellramp/control/ClaimStore.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ClaimStore.kt
@@ -9,7 +9,8 @@
     private val groups = HashMap<Long, HashMap<ClaimKey, StoredClaim>>()
 
     /** Number of claims. */
-    val size: Int get() = groups.values.sumOf { it.size }
+    var size = 0
+        private set
 
     /** Returns the claim on [key]. */
     operator fun get(key: ClaimKey): StoredClaim? = groups[key.group()]?.get(key)
@@ -19,18 +20,19 @@
         key: ClaimKey,
         claim: StoredClaim,
     ) {
-        groups.getOrPut(key.group()) { HashMap() }[key] = claim
+        if (groups.getOrPut(key.group()) { HashMap() }.put(key, claim) == null) size++
     }
 
     /** Forgets the claim on [key]. */
     fun remove(key: ClaimKey) {
-        groups[key.group()]?.remove(key)
+        if (groups[key.group()]?.remove(key) != null) size--
     }
 
     /** Forgets all groups that end before [time]. */
     fun forgetBefore(time: Instant) {
         val first = groupOf(time)
         groups.keys.removeIf { it < first }
+        size = groups.values.sumOf { it.size }
     }
 
     /** Returns the claims of group [group], or all claims if it is null. */
--- a/control/src/main/kotlin/io/bluebellramp/control/ClaimTable.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ClaimTable.kt
@@ -29,12 +29,14 @@
  * @param life longest life of a lease, in which an entry may still count in an older membership
  * @param isFounder true if the data folder was empty and the member is not joining. The log lets such a member learn of a
  *   committed membership only if the cluster is new, so nobody has granted anything
+ * @param mostClaims a member that holds this many grants no further submission, so that its memory is bounded
  */
 class ClaimTable(
     private val self: MemberId,
     private val clock: Clock,
     private val life: Duration,
     isFounder: Boolean = false,
+    private val mostClaims: Int = MOST_CLAIMS,
 ) {
     private val store = ClaimStore()
     private val holders = HashMap<ClaimHolder, ClaimHolder>()
@@ -124,6 +126,7 @@
         val asked = StoredClaim(digest, shared(holder), sequence, isTakenOver = claim.takeover != null)
         val granted =
             when {
+                held == null && store.size >= mostClaims -> return ClaimVerdict(granted = false)
                 held == null -> asked
                 held.rivals != null || held.isLost(asked) -> return ClaimVerdict(granted = false)
                 held.digest != digest -> null
@@ -180,6 +183,7 @@
 
     companion object {
         private const val NO_VERSION = -1L
+        private const val MOST_CLAIMS = 300_000
         private const val SHARED_HOLDERS = 10_000
 
         /** Longest life of a submission, counted from the time inside its id. */
--- a/control/src/test/kotlin/io/bluebellramp/control/ClaimTableTest.kt
+++ b/control/src/test/kotlin/io/bluebellramp/control/ClaimTableTest.kt
@@ -110,6 +110,15 @@
             assertEquals(true, table.ask(id, "b")?.granted)
         }
 
+        @Test
+        fun `on one submission too many is not granted, and those that are held still are`() {
+            val full = ClaimTable(MemberId("m1"), clock, LIFE, isFounder = true, mostClaims = 1).apply { join(1, members("m1")) }
+            val id = submission()
+            assertEquals(true, full.ask(id, "a")?.granted)
+            assertEquals(ClaimVerdict(granted = false), full.ask(submission(), "a"))
+            assertEquals(true, full.ask(id, "a")?.granted)
+        }
+
         @Test
         fun `counted in another membership gets no verdict`() {
             assertNull(table.ask(submission(), "a", version = 2))
