--- a/agent/src/main/kotlin/io/bluebellramp/agent/AgentOptions.kt
+++ b/agent/src/main/kotlin/io/bluebellramp/agent/AgentOptions.kt
@@ -18,7 +18,7 @@
  * @property outcomeBytes results that may wait to be received (bytes)
  */
 internal data class AgentOptions(
-    val prefetch: Int = 1,
+    val prefetch: Int = 0,
     val tick: Duration = 50.milliseconds,
     val permitPeriod: Duration = 300.milliseconds,
     val permitPatience: Duration = 200.milliseconds,
--- a/entry/src/main/kotlin/io/bluebellramp/entry/AgentDirectory.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/AgentDirectory.kt
@@ -10,6 +10,8 @@
 import io.bluebellramp.messages.EntryFrame
 import io.bluebellramp.messages.EntryHello
 import io.bluebellramp.messages.Permit
+import io.bluebellramp.placement.DemandNews
+import io.bluebellramp.placement.QueueDemand
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -34,6 +36,7 @@
     private val sessions = HashMap<AgentId, AgentSession>()
     private val byLink = HashMap<LinkId, AgentSession>()
     private val permits = PermitHistory()
+    private val demandNews = DemandNews()
     lateinit var listener: AgentListener
 
     /** Tells what waits for a service. */
@@ -126,10 +129,17 @@
     /** Marks the links to which demand or a count of outcomes has not been sent yet. */
     fun wakeForNews() =
         byLink.values.forEach { session ->
-            val news = session.service?.let(demand)
-            if (session.received != session.receivedSent || (news != null && news != session.demandSent)) wake(session)
+            if (session.received != session.receivedSent || isNews(session)) wake(session)
         }
 
+    private fun isNews(session: AgentSession): Boolean {
+        val now = session.service?.let(demand) ?: return false
+        val sent = session.demandSent
+        return demandNews.isNews(sent?.queueDemand(), now.queueDemand()) || ((sent?.requests ?: 0) == 0) != (now.requests == 0)
+    }
+
+    private fun Demand.queueDemand() = QueueDemand(tasks = tasks, tasksLeft = tasksLeft)
+
     fun acknowledge(
         session: AgentSession,
         revision: Revision,
--- a/entry/src/main/kotlin/io/bluebellramp/entry/EntryShell.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/EntryShell.kt
@@ -99,6 +99,6 @@
     }
 
     private companion object {
-        val TICK = 10.milliseconds
+        val TICK = 5.milliseconds
     }
 }
