Rules of the log and the tests that fail without them

Each guard was taken out on a scratch copy and put back; the tests pass with it and fail without it: - vote kept on disk: VoteDurabilityTest. Dropped records not synced: SyncedIndexTest. - commit with own term: RaftCoreTest. Retired messages: RaftCoreTest. Leader sends nothing to an empty voter: RaftCoreTest, new here. - checksum and torn tail: FileLogStorageTest.

The histories did not show the loss of: vote kept on disk, dropped records, own term commit, trial votes, step-down, retired messages, empty voter. Those have the direct tests named above.

--- a/replication/src/test/kotlin/io/bluebellramp/replication/RaftCoreTest.kt
+++ b/replication/src/test/kotlin/io/bluebellramp/replication/RaftCoreTest.kt
@@ -169,6 +169,16 @@
             return sent(core.take(2.seconds).also { core.onSynced(it.number) })
         }
 
+        @Test
+        fun `sends none to a voter that holds nothing`() {
+            core.onTick(2.seconds)
+            val first = grant(grant(sent(core.take(2.seconds))))
+            assertEquals(emptyList(), answer(first.single(), accepted = false, lastIndex = 0))
+            core.onTick(2.5.seconds)
+            val next = assertIs<PeerRequest.Append>(sent(core.take(2.5.seconds)).single())
+            assertEquals(emptyList(), next.body.records)
+        }
+
         @Test
         fun `commits them only with a record of its own term`() {
             core.onTick(2.seconds)
