--- a/agent/src/main/kotlin/io/bluebellramp/agent/AgentOptions.kt
+++ b/agent/src/main/kotlin/io/bluebellramp/agent/AgentOptions.kt
@@ -1,5 +1,6 @@
 package io.bluebellramp.agent
 
+import io.bluebellramp.core.SubmissionId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
@@ -24,7 +25,7 @@
     val permitPatience: Duration = 200.milliseconds,
     val recallPatience: Duration = 2.seconds,
     val announcementLife: Duration = 2.seconds,
-    val submissionLife: Duration = 10.minutes,
+    val submissionLife: Duration = SubmissionId.LIFE,
     val clockSkew: Duration = 1.minutes,
     val outcomeLife: Duration = 1.minutes,
     val outcomeBytes: Long = 8L * 1024 * 1024,
--- a/cli/src/main/kotlin/io/bluebellramp/cli/CallResult.kt
+++ b/cli/src/main/kotlin/io/bluebellramp/cli/CallResult.kt
@@ -24,9 +24,10 @@
         val error: ErrorBody,
     ) : Failure
 
-    /** No process answered. Whether the call had an effect is unknown. */
+    /** No process answered. If [mayHaveArrived], it is unknown whether the call had an effect. */
     data class Unreachable(
         val message: String,
+        val mayHaveArrived: Boolean = true,
     ) : Failure
 }
 
--- a/cli/src/main/kotlin/io/bluebellramp/cli/ControlClient.kt
+++ b/cli/src/main/kotlin/io/bluebellramp/cli/ControlClient.kt
@@ -18,6 +18,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.serialization.KSerializer
 import java.io.IOException
+import java.net.ConnectException
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -47,9 +48,9 @@
             }
         }
 
-    /** Changes the membership. It is sent once, since a repeat could be refused although the first took effect. */
+    /** Changes the membership. It is not sent again once it may have arrived, since a repeat could be refused although the first took effect. */
     suspend fun changeMembership(request: MembershipRequest): CallResult<StatusView> =
-        call(StatusView.serializer()) {
+        call(StatusView.serializer(), resend = setOf(ErrorCode.NO_LEADER)) {
             http.post("http://$it/v1/members") {
                 contentType(ContentType.Application.Json)
                 setBody(WireJson.encodeToString(MembershipRequest.serializer(), request))
@@ -58,6 +59,7 @@
 
     private suspend fun <T> call(
         serializer: KSerializer<T>,
+        resend: Set<ErrorCode>? = null,
         send: suspend (Address) -> HttpResponse,
     ): CallResult<T> {
         if (controls.isEmpty()) return CallResult.Unreachable("no control process is named; use --control or --config")
@@ -65,7 +67,7 @@
         repeat(ROUNDS) {
             for (control in controls) {
                 last = attempt(control, serializer, send)
-                if (!last.isWorthAnother()) return last
+                if (!last.isWorthAnother(resend)) return last
             }
             delay(PAUSE)
         }
@@ -80,14 +82,21 @@
         try {
             send(control).decode(serializer)
         } catch (e: IOException) {
-            CallResult.Unreachable("$control: ${e.message ?: e.javaClass.simpleName}")
+            CallResult.Unreachable("$control: ${e.message ?: e.javaClass.simpleName}", mayHaveArrived = e !is ConnectException)
         }
 
-    private fun CallResult<*>.isWorthAnother() =
-        this is CallResult.Unreachable || (this is CallResult.Refused && error.code == ErrorCode.NO_LEADER)
+    private fun CallResult<*>.isWorthAnother(resend: Set<ErrorCode>?) =
+        when (this) {
+            is CallResult.Answered -> false
+            is CallResult.Refused -> error.code in (resend ?: resendable)
+            is CallResult.Unreachable -> resend == null || !mayHaveArrived
+        }
 
     private companion object {
         const val ROUNDS = 20
+
+        /** A change may be sent again under its change id after these. */
+        val resendable = setOf(ErrorCode.NO_LEADER, ErrorCode.OUTCOME_UNKNOWN)
         val PAUSE = 250.milliseconds
     }
 }
--- a/cli/src/main/kotlin/io/bluebellramp/cli/EntryClient.kt
+++ b/cli/src/main/kotlin/io/bluebellramp/cli/EntryClient.kt
@@ -4,6 +4,7 @@
 import io.bluebellramp.core.SubmissionId
 import io.bluebellramp.core.WireJson
 import io.bluebellramp.messages.Answer
+import io.bluebellramp.messages.ErrorCode
 import io.bluebellramp.messages.JobSubmission
 import io.bluebellramp.messages.RequestSubmission
 import io.ktor.client.HttpClient
@@ -53,7 +54,7 @@
         repeat(ROUNDS) {
             for (entry in entries) {
                 last = attempt(entry, send)
-                if (last !is CallResult.Unreachable) return last
+                if (!last.isWorthAnother()) return last
             }
             delay(PAUSE)
         }
@@ -70,7 +71,12 @@
             CallResult.Unreachable("$entry: ${e.message ?: e.javaClass.simpleName}")
         }
 
+    private fun CallResult<Answer>.isWorthAnother() =
+        this is CallResult.Unreachable || (this is CallResult.Refused && error.code in resendable)
+
     private companion object {
+        /** The entry started nothing, and the same id may be sent to another one. */
+        val resendable = setOf(ErrorCode.NOT_READY, ErrorCode.CLAIMS_UNAVAILABLE, ErrorCode.OWNER_UNREACHABLE)
         const val ROUNDS = 8
         val PAUSE = 500.milliseconds
     }
--- a/control/src/main/kotlin/io/bluebellramp/control/ClaimTable.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ClaimTable.kt
@@ -14,7 +14,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.toJavaDuration
 import io.bluebellramp.messages.ClaimTable as ClaimCopy
 
@@ -187,10 +186,10 @@
         private const val SHARED_HOLDERS = 10_000
 
         /** Longest life of a submission, counted from the time inside its id. */
-        val SUBMISSION_LIFE = 10.minutes
+        val SUBMISSION_LIFE = SubmissionId.LIFE
 
         /** How far the clocks of callers, entries and members may differ. */
-        val FUTURE_SLACK = 5.seconds
+        val FUTURE_SLACK = SubmissionId.CLOCK_SKEW
 
         /** An entry counts grants only if all came within this time of its sending the request. */
         val CLAIM_ROUND = 1000.milliseconds
--- a/control/src/main/kotlin/io/bluebellramp/control/ConfigurationRules.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ConfigurationRules.kt
@@ -2,6 +2,7 @@
 
 import io.bluebellramp.core.StrictJson
 import io.bluebellramp.core.ZoneId
+import io.bluebellramp.core.mergePatch
 import io.bluebellramp.messages.ChangeRequest
 import io.bluebellramp.messages.Configuration
 import io.bluebellramp.messages.ConfigurationView
@@ -37,7 +38,7 @@
         overlay: JsonObject,
         known: List<Violation>,
     ): List<Violation> {
-        val found = SchemaValidator.violations(base.mergePatch(overlay).toString(), TYPE)
+        val found = SchemaValidator.violations(mergePatch(base, overlay).toString(), TYPE)
         return found.filter { it !in known }.map { it.under("$.overlays${step(site)}") }
     }
 
--- a/core/src/main/kotlin/io/bluebellramp/core/SubmissionId.kt
+++ b/core/src/main/kotlin/io/bluebellramp/core/SubmissionId.kt
@@ -4,6 +4,8 @@
 import java.security.SecureRandom
 import java.time.Instant
 import java.util.UUID
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Names a submission, a job or a single request. The caller chooses it.
@@ -23,6 +25,12 @@
     override fun toString() = value
 
     companion object {
+        /** How long after the time inside its id a submission may be claimed, started or asked for. */
+        val LIFE = 10.minutes
+
+        /** How far the time inside an id may lie in the future, because the clocks of callers and processes differ. */
+        val CLOCK_SKEW = 5.seconds
+
         private const val HIGH_DIGITS = 8
         private const val TIME_END = 13
         private const val RADIX = 16
--- a/control/src/test/kotlin/io/bluebellramp/control/MergePatchTest.kt
+++ b/core/src/test/kotlin/io/bluebellramp/core/MergePatchTest.kt
@@ -1,5 +1,6 @@
-package io.bluebellramp.control
+package io.bluebellramp.core
 
+import kotlinx.serialization.json.Json
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import kotlin.test.assertEquals
@@ -25,5 +26,5 @@
         base: String,
         patch: String,
         expected: String,
-    ) = assertEquals(json(expected), json(base).mergePatch(json(patch)))
+    ) = assertEquals(Json.parseToJsonElement(expected), mergePatch(Json.parseToJsonElement(base), Json.parseToJsonElement(patch)))
 }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/ClaimsClient.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/ClaimsClient.kt
@@ -24,6 +24,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -40,7 +41,14 @@
     )
 
     private val wanted = Channel<Wanted>(Channel.UNLIMITED)
-    private val released = Channel<SubmissionId>(Channel.UNLIMITED)
+
+    private class Released(
+        val submission: SubmissionId,
+        val lastRound: Long,
+    )
+
+    private val released = Channel<Released>(Channel.UNLIMITED)
+    private val rounds = AtomicLong()
     private val inFlight = Semaphore(MAX_BATCHES)
 
     /** Adds a claim to the next batch. The verdict goes to the core. */
@@ -48,9 +56,9 @@
         wanted.trySend(Wanted(Claim(submission = claim.submission, digest = claim.digest, takeover = claim.takeover)))
     }
 
-    /** Adds a release to the next batch of releases. */
+    /** Adds a release to the next batch of releases. It ends claims of the rounds so far, and not of a later one. */
     fun release(submission: SubmissionId) {
-        released.trySend(submission)
+        released.trySend(Released(submission, rounds.get()))
     }
 
     /** Sends batches until it is cancelled. */
@@ -79,10 +87,11 @@
             return
         }
         val sent = clock.monotonic()
+        val number = rounds.incrementAndGet()
         coroutineScope {
             members.members.forEach { member ->
                 launch {
-                    val verdicts = ask(member.address, members, batch)
+                    val verdicts = ask(member.address, members, batch, number)
                     shell.use { now -> round.add(verdicts.takeIf { now - sent < ROUND }) }
                     round.deliver()
                 }
@@ -156,8 +165,15 @@
         member: Address,
         members: ClaimMembers,
         batch: List<Wanted>,
+        round: Long,
     ): List<ClaimVerdict>? {
-        val request = ClaimRequest(membership = members.version, holder = identity.holder, claims = batch.map { it.claim })
+        val request =
+            ClaimRequest(
+                membership = members.version,
+                holder = identity.holder,
+                sequence = round,
+                claims = batch.map { it.claim },
+            )
         val response = call(member, "claims", request) ?: return null
         if (response.status != HttpStatusCode.OK) return null
         val body =
@@ -171,10 +187,15 @@
         return body.verdicts.takeIf { body.membership == members.version && it.size == batch.size }
     }
 
-    private suspend fun releaseAll(batch: List<SubmissionId>) {
+    private suspend fun releaseAll(batch: List<Released>) {
         val members = shell.use { lease.members } ?: return
-        val release = ClaimRelease(incarnation = identity.incarnation, submissions = batch)
-        coroutineScope { members.members.forEach { launch { call(it.address, "claims/release", release) } } }
+        val releases =
+            batch.groupBy({ it.lastRound }, { it.submission }).map { (round, submissions) ->
+                ClaimRelease(incarnation = identity.incarnation, submissions = submissions, sequence = round)
+            }
+        coroutineScope {
+            members.members.forEach { launch { releases.forEach { release -> call(it.address, "claims/release", release) } } }
+        }
     }
 
     private suspend inline fun <reified T : Any> call(
--- a/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionReader.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionReader.kt
@@ -17,6 +17,7 @@
 import java.security.MessageDigest
 import java.time.Duration
 import java.util.HexFormat
+import kotlin.time.toJavaDuration
 
 /** What came of reading a body. */
 internal sealed interface ReadResult {
@@ -179,8 +180,10 @@
         private val ID = Regex("^[a-z0-9][a-z0-9.-]{0,62}$")
 
         /** The members remember a claim for longer than this after the time inside the id. */
-        private val OLDEST: Duration = Duration.ofMinutes(10)
-        private val NEWEST: Duration = Duration.ofMinutes(1)
+        private val OLDEST: Duration = SubmissionId.LIFE.toJavaDuration()
+
+        /** Control members give an id that lies further in the future no verdict. */
+        private val NEWEST: Duration = SubmissionId.CLOCK_SKEW.toJavaDuration()
     }
 }
 
