--- a/agent/src/test/kotlin/io/bluebellramp/agent/AgentCoreTest.kt
+++ b/agent/src/test/kotlin/io/bluebellramp/agent/AgentCoreTest.kt
@@ -177,6 +177,20 @@
         }
     }
 
+    @Nested
+    inner class `After a freeze` {
+        @Test
+        fun `a waiting task does not start once the permit has run out`() {
+            val (running, waiting) = runningAndWaiting()
+            agent.advance(1_500.milliseconds)
+            agent.announce()
+            agent.clock.now += 600.milliseconds
+            agent.finish(running)
+            assertEquals(2, agent.starts.size)
+            assertEquals(listOf("not_run" to "no_permit"), told(waiting))
+        }
+    }
+
     @Nested
     inner class Leaving {
         @Test
--- a/agent/src/test/kotlin/io/bluebellramp/agent/AgentSimulation.kt
+++ b/agent/src/test/kotlin/io/bluebellramp/agent/AgentSimulation.kt
@@ -19,7 +19,6 @@
 import io.bluebellramp.messages.TaskReference
 import io.bluebellramp.placement.DemandGrantPolicy
 import io.bluebellramp.placement.Placement
-import java.util.PriorityQueue
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -30,12 +29,6 @@
 internal class AgentSimulation(
     seed: Long,
 ) {
-    private class Event(
-        val at: Duration,
-        val order: Long,
-        val run: () -> Unit,
-    )
-
     private class Link(
         val id: ConnectionId,
         val entry: SimulatedEntry,
@@ -48,7 +41,7 @@
 
     private val random = Random(seed)
     private val clock = ManualClock(onRead = { if (chaos && inStep && random.nextInt(4000) == 0) now += 3.seconds })
-    private val events = PriorityQueue<Event>(compareBy<Event> { it.at }.thenBy { it.order })
+    private val loop = EventLoop(clock)
     private val entries = List(3) { SimulatedEntry("e$it", random).also(SimulatedEntry::restart) }
     private val links = LinkedHashMap<SimulatedEntry, Link>()
     private val sent = ArrayList<Dispatch>()
@@ -58,7 +51,6 @@
     private var targetUp = true
     private var chaos = true
     private var inStep = false
-    private var order = 0L
     private var connectionIds = 0L
     private var agentRun = 0
     private var frozenUntil = Duration.ZERO
@@ -69,14 +61,14 @@
 
     fun run(): StartHistory {
         restartAgent()
-        every(20.milliseconds) { entries.forEach { work(it) } }
-        every(50.milliseconds) { step(AgentInput.Tick) }
-        every(300.milliseconds) { announce() }
-        every(120.milliseconds) { if (chaos) fault() }
-        every(60.milliseconds) { if (chaos) entries.forEach { arrive(it) } }
-        runUntil(CHAOS)
+        loop.every(20.milliseconds) { entries.forEach { work(it) } }
+        loop.every(50.milliseconds) { step(AgentInput.Tick) }
+        loop.every(300.milliseconds) { announce() }
+        loop.every(120.milliseconds) { if (chaos) fault() }
+        loop.every(60.milliseconds) { if (chaos) entries.forEach { arrive(it) } }
+        loop.runUntil(CHAOS)
         calm()
-        runUntil(clock.now + CALM)
+        loop.runUntil(clock.now + CALM)
         checkEnd()
         return history
     }
@@ -293,30 +285,10 @@
 
     private fun delay() = if (chaos && random.nextInt(20) == 0) random.nextLong(1500).milliseconds else random.nextLong(1, 5).milliseconds
 
-    private fun every(
-        period: Duration,
-        run: () -> Unit,
-    ): Unit =
-        at(clock.now + period) {
-            run()
-            every(period, run)
-        }
-
     private fun at(
         time: Duration,
         run: () -> Unit,
-    ) {
-        events.add(Event(time, order++, run))
-    }
-
-    private fun runUntil(time: Duration) {
-        while (events.peek().at < time) {
-            val event = events.remove()
-            clock.now = maxOf(clock.now, event.at)
-            event.run()
-        }
-        clock.now = maxOf(clock.now, time)
-    }
+    ) = loop.at(time, run)
 
     private companion object {
         val CHAOS = 12.seconds
--- a/agent/src/test/kotlin/io/bluebellramp/agent/TargetLinkTest.kt
+++ b/agent/src/test/kotlin/io/bluebellramp/agent/TargetLinkTest.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Timeout
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -17,6 +18,9 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+private const val HANG_SECONDS = 60L
+
+@Timeout(HANG_SECONDS)
 class TargetLinkTest {
     private val link = TargetLink(SystemClock)
     private val call = TargetCall(SubmissionId.create(ManualClock.BASE), task = 1, attempt = 0, kind = DispatchKind.TASK, payload = "p")
