Test of a failing disk fails the disk at the first command

Cause: the test let the fourth write fail, but how many writes come before the first command depends on the timing of batches; with three or fewer the command was accepted by a disk that was still well. Ruled out: a fault of the member; the accepted command had been written by a call that succeeded. Change: every write that holds a command fails, so no command may ever be accepted; as strict as before.

--- a/replication/src/test/kotlin/io/bluebellramp/replication/LogMemberTest.kt
+++ b/replication/src/test/kotlin/io/bluebellramp/replication/LogMemberTest.kt
@@ -4,6 +4,7 @@
 import io.bluebellramp.core.SystemClock
 import io.bluebellramp.messages.MembershipAction
 import io.bluebellramp.messages.MembershipRequest
+import io.bluebellramp.messages.RecordKind
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.runBlocking
@@ -144,11 +145,12 @@
     @Nested
     inner class `a disk that fails` {
         private inner class FailingStorage : LogStorage {
-            private var calls = 0
-
             override fun open(member: MemberId) = StorageOpening.Opened(StoredState(null, null, emptyList()))
 
-            override fun persist(writes: List<StorageWrite>): StorageError? = if (++calls < 4) null else StorageError.Failed("no space")
+            override fun persist(writes: List<StorageWrite>): StorageError? {
+                val records = writes.filterIsInstance<StorageWrite.Append>().flatMap { it.records }
+                return if (records.none { it.kind == RecordKind.COMMAND }) null else StorageError.Failed("no space")
+            }
 
             override fun close() = Unit
         }
