--- a/agent/src/test/kotlin/io/bluebellramp/agent/AgentSimulation.kt
+++ b/agent/src/test/kotlin/io/bluebellramp/agent/AgentSimulation.kt
@@ -280,7 +280,13 @@
         history.restarted()
         incarnation = IncarnationId("a.$agentRun")
         val hello = AgentHello(AgentId("a1"), incarnation, SiteId("s1"), ZoneId("z1"))
-        core = AgentCore(hello, clock, policy = if (random.nextBoolean()) Placement.grants() else DemandGrantPolicy())
+        core =
+            AgentCore(
+                hello = hello,
+                clock = clock,
+                options = AgentOptions(prefetch = random.nextInt(2)),
+                policy = if (random.nextBoolean()) Placement.grants() else DemandGrantPolicy(),
+            )
     }
 
     private fun delay() = if (chaos && random.nextInt(20) == 0) random.nextLong(1500).milliseconds else random.nextLong(1, 5).milliseconds
--- a/agent/src/test/kotlin/io/bluebellramp/agent/CoreHarness.kt
+++ b/agent/src/test/kotlin/io/bluebellramp/agent/CoreHarness.kt
@@ -35,7 +35,12 @@
     private var submissions = 0L
     val clock = ManualClock()
     val core =
-        AgentCore(AgentHello(AgentId("a1"), incarnation, SiteId("s1"), ZoneId("z1")), clock, policy = DemandGrantPolicy())
+        AgentCore(
+            AgentHello(AgentId("a1"), incarnation, SiteId("s1"), ZoneId("z1")),
+            clock,
+            AgentOptions(prefetch = 1),
+            DemandGrantPolicy(),
+        )
     val starts = ArrayList<TaskReference>()
     val frames = ArrayList<Pair<Long, AgentFrame>>()
     val dropped = ArrayList<DropReason>()
