The command line goes on to the next control process when one does not answer

Cause: the whole check hung in leader-frozen. Ruled out: the members; two of three were well and had elected a leader. Change: 2 s for reads, 6 s for changes (which are resent under their change id), 70 s for membership. The proof now always asks the frozen leader first.

--- a/cli/src/main/kotlin/io/bluebellramp/cli/ControlClient.kt
+++ b/cli/src/main/kotlin/io/bluebellramp/cli/ControlClient.kt
@@ -9,6 +9,8 @@
 import io.bluebellramp.messages.MembershipRequest
 import io.bluebellramp.messages.StatusView
 import io.ktor.client.HttpClient
+import io.ktor.client.plugins.timeout
+import io.ktor.client.request.HttpRequestBuilder
 import io.ktor.client.request.get
 import io.ktor.client.request.post
 import io.ktor.client.request.setBody
@@ -19,7 +21,9 @@
 import kotlinx.serialization.KSerializer
 import java.io.IOException
 import java.net.ConnectException
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Calls the control processes, whichever answers.
@@ -31,10 +35,16 @@
     private val controls: List<Address>,
 ) {
     /** Reads the accepted configuration. */
-    suspend fun configuration(): CallResult<ConfigurationView> = call(ConfigurationView.serializer()) { http.get("http://$it/v1/config") }
+    suspend fun configuration(): CallResult<ConfigurationView> =
+        call(ConfigurationView.serializer()) {
+            http.get("http://$it/v1/config") { answerWithin(CALL_TIME) }
+        }
 
     /** Reads the status as the leader sees it. */
-    suspend fun status(): CallResult<StatusView> = call(StatusView.serializer()) { http.get("http://$it/v1/status") }
+    suspend fun status(): CallResult<StatusView> =
+        call(StatusView.serializer()) {
+            http.get("http://$it/v1/status") { answerWithin(CALL_TIME) }
+        }
 
     /** Makes a change and waits until it is in force if [wait]. */
     suspend fun change(
@@ -43,6 +53,7 @@
     ): CallResult<ChangeResponse> =
         call(ChangeResponse.serializer()) {
             http.post("http://$it/v1/changes?wait=$wait") {
+                answerWithin(CHANGE_TIME)
                 contentType(ContentType.Application.Json)
                 setBody(WireJson.encodeToString(ChangeRequest.serializer(), request))
             }
@@ -52,11 +63,15 @@
     suspend fun changeMembership(request: MembershipRequest): CallResult<StatusView> =
         call(StatusView.serializer(), resend = setOf(ErrorCode.NO_LEADER)) {
             http.post("http://$it/v1/members") {
+                answerWithin(MEMBERSHIP_TIME)
                 contentType(ContentType.Application.Json)
                 setBody(WireJson.encodeToString(MembershipRequest.serializer(), request))
             }
         }
 
+    /** A process that is frozen accepts connections and never answers, so each call has a bound after which the next one is asked. */
+    private fun HttpRequestBuilder.answerWithin(time: Duration) = timeout { requestTimeoutMillis = time.inWholeMilliseconds }
+
     private suspend fun <T> call(
         serializer: KSerializer<T>,
         resend: Set<ErrorCode>? = null,
@@ -98,5 +113,12 @@
         /** A change may be sent again under its change id after these. */
         val resendable = setOf(ErrorCode.NO_LEADER, ErrorCode.OUTCOME_UNKNOWN)
         val PAUSE = 250.milliseconds
+        val CALL_TIME = 2.seconds
+
+        /** A little over the longest wait until a change is in force and is forwarded. */
+        val CHANGE_TIME = 6.seconds
+
+        /** A little over the longest time that a learner may take to catch up. */
+        val MEMBERSHIP_TIME = 70.seconds
     }
 }
--- a/proofs/leader-frozen.sh
+++ b/proofs/leader-frozen.sh
@@ -5,6 +5,8 @@
 leader=$(leader_number)
 before=$(revision)
 signal "control-$leader" STOP
+# The command line asks the frozen leader first and must go on to the others by itself.
+CONTROLS="$(control_address "$leader"),$CONTROLS"
 CTL_WORDS=3 ctl target out target-3 || fail "no change was accepted while the leader was frozen"
 after=$(revision)
 equal "revision after the change" $((before + 1)) "$after"
