The fake entry of the agent's tests keeps credits until it has work for them

Cause: AgentProgramTest hung now and then, and with it a whole check. A trace of the frames on a busy machine showed that the agent grants its two credits ahead of demand, right after the first permit. If the test offered its payloads after that frame, the fake entry had already forgotten the credits; the agent counted them as granted and rightly gave no more, so the test waited for ever. Ruled out: a broken link (one connection for the whole time, permits every 300 ms), the large frame (2 MB went both ways), a lost outcome. Change: the fake keeps its unspent credits, spends them at the next frame and returns those that are recalled. A test offers work only after the credits have come. Conclusion: the fault was in the test's fake, not in the agent.

--- a/agent/src/test/kotlin/io/bluebellramp/agent/AgentProgramTest.kt
+++ b/agent/src/test/kotlin/io/bluebellramp/agent/AgentProgramTest.kt
@@ -27,9 +27,13 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.BeforeEach
 import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Timeout
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
+private const val HANG_SECONDS = 60L
+
+@Timeout(HANG_SECONDS)
 class AgentProgramTest {
     @Nested
     inner class `an agent between an entry and a target` {
@@ -91,6 +95,14 @@
                 assertEquals(payloads.toSet(), outcomes.map { it.result }.toSet())
             }
 
+        @Test
+        fun `runs a task for which a credit was granted long before`() =
+            runBlocking {
+                entry.granted.receive()
+                offer(listOf("late"))
+                assertEquals("late", entry.outcomes.receive().result)
+            }
+
         @Test
         fun `carries a large payload whole`() =
             runBlocking {
--- a/agent/src/test/kotlin/io/bluebellramp/agent/FakeEntry.kt
+++ b/agent/src/test/kotlin/io/bluebellramp/agent/FakeEntry.kt
@@ -7,6 +7,7 @@
 import io.bluebellramp.core.SubmissionId
 import io.bluebellramp.core.WireJson
 import io.bluebellramp.messages.AgentFrame
+import io.bluebellramp.messages.Credits
 import io.bluebellramp.messages.Demand
 import io.bluebellramp.messages.Dispatch
 import io.bluebellramp.messages.DispatchKind
@@ -26,7 +27,11 @@
 import java.net.ServerSocket
 import java.time.Instant
 
-/** An entry on a real socket that permits everything and spends each credit on the next payload of [payloads]. */
+/**
+ * An entry on a real socket that permits everything and spends each credit on the next payload of [payloads].
+ *
+ * Credits may come before the payloads do. They are kept, and spent at the next frame of the agent.
+ */
 internal class FakeEntry(
     name: String = "e1",
     val address: Address = freeAddress(),
@@ -36,6 +41,9 @@
     val outcomes = Channel<TaskOutcome>(Channel.UNLIMITED)
     val leaving = Channel<Unit>(Channel.CONFLATED)
 
+    /** Tells that credits have come. */
+    val granted = Channel<Unit>(Channel.CONFLATED)
+
     @Volatile
     var permitted = true
     private val hello = EntryHello(EntryId(name), IncarnationId("run1"))
@@ -51,6 +59,7 @@
         webSocket("/agents") {
             var agent: IncarnationId? = null
             var received = 0L
+            var credits = 0
             reply(EntryFrame(hello = hello))
             for (text in incoming) {
                 val frame = WireJson.decodeFromString<AgentFrame>((text as Frame.Text).readText())
@@ -58,13 +67,23 @@
                 frame.outcomes.forEach { outcomes.send(it) }
                 received += frame.outcomes.size
                 if (frame.leaving) leaving.send(Unit)
-                val credits = frame.credits?.slots ?: 0
+                credits += frame.credits?.slots ?: 0
+                if (credits > 0) granted.trySend(Unit)
+                val returned = minOf(credits, frame.recalled?.slots ?: 0)
+                credits -= returned
                 val work = synchronized(payloads) { List(minOf(credits, payloads.size)) { payloads.removeFirst() } }
+                credits -= work.size
                 val permit = frame.permitRequest?.takeIf { permitted }?.let { permit(it.sequence) }
                 val dispatches = work.map { dispatch(it, checkNotNull(agent)) }
                 val waiting = synchronized(payloads) { payloads.size }
                 reply(
-                    EntryFrame(permit = permit, demand = Demand(waiting, waiting), dispatches = dispatches, received = received),
+                    EntryFrame(
+                        permit = permit,
+                        demand = Demand(waiting, waiting),
+                        dispatches = dispatches,
+                        received = received,
+                        returned = Credits(returned, 0).takeIf { returned > 0 },
+                    ),
                 )
             }
         }
