Connections, headers and the time of a request are bounded

Cause: a server had no bound on the time in which headers and a body arrive, since the engine's read timeout also cuts calls whose answer is held, and none on its connections; only the engine's default bounded the headers. Ruled out: the engine's read timeout and Netty's ReadTimeoutHandler: both count silence, also while an answer is held. Change: a handler after the HTTP codec bounds the time from the first byte of a request until its body is whole (15 s, answered 408 request_timeout) and the time without a request (5 min); it stops at the upgrade to a WebSocket. At most 4,096 connections, 16 KiB of headers, 4 KiB of first line, as parameters of httpServer. Tests: the handler in the virtual time of an embedded channel; a real server with limits of 300 and 400 ms, with a held answer of 1.5 s and a WebSocket silent for 1.5 s.

--- a/messages/src/main/kotlin/io/bluebellramp/messages/ErrorCode.kt
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/ErrorCode.kt
@@ -12,6 +12,9 @@
     @SerialName("body_too_large")
     BODY_TOO_LARGE,
 
+    @SerialName("request_timeout")
+    REQUEST_TIMEOUT,
+
     @SerialName("unauthorized")
     UNAUTHORIZED,
 
--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/HttpServer.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/HttpServer.kt
@@ -36,24 +36,30 @@
 
 /** Paths that need no key: health, metrics and the callers' API. */
 private val openPaths = listOf("/live", "/ready", "/metrics", "/v1/jobs", "/v1/requests", "/v1/target")
+
+/** The name that the engine gives its HTTP codec. */
+private const val CODEC = "codec"
 private const val MAX_FRAME_BYTES = 16L * 1024 * 1024
 
 /**
  * Returns an HTTP server for [routes] with JSON bodies, WebSockets, `/live`, `/ready` and `/metrics`. It is not started.
  *
- * The server cuts nothing by itself on a signal; stop it when all work in flight is done. It has no read timeout, since the engine's
- * also cuts calls whose answer is held; routes bound the time in which they read a body.
+ * The server cuts nothing by itself on a signal; stop it when all work in flight is done. The engine's own read timeout is off, since it
+ * also cuts calls whose answer is held; [RequestTimeLimit] bounds only the arrival of a request.
  *
  * @param key if not null, calls other than to health, metrics and the callers' API must carry it
+ * @param limits what callers may use of the server
  */
 fun httpServer(
     listen: Address,
     health: Health,
     registry: PrometheusRegistry,
     key: SharedKey? = null,
+    limits: ConnectionLimits = ConnectionLimits(),
     routes: Route.() -> Unit,
 ): EmbeddedServer<NettyApplicationEngine, NettyApplicationEngine.Configuration> {
     System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
+    val connections = ConnectionBound(limits.connections)
     return embeddedServer(
         Netty,
         configure = {
@@ -62,6 +68,12 @@
                 port = listen.port
             }
             tcpKeepAlive = true
+            maxHeaderSize = limits.headerBytes
+            maxInitialLineLength = limits.requestLineBytes
+            channelPipelineConfig = {
+                connections.admit(channel())
+                addAfter(CODEC, "requestTimeLimit", RequestTimeLimit(limits))
+            }
         },
     ) {
         install(ContentNegotiation) { json(WireJson) }
