--- a/entry/src/main/kotlin/io/bluebellramp/entry/CallerApi.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/CallerApi.kt
@@ -6,6 +6,8 @@
 import io.bluebellramp.messages.AnswerOutcome
 import io.bluebellramp.messages.ErrorBody
 import io.bluebellramp.messages.ErrorCode
+import io.bluebellramp.messages.PendingBody
+import io.bluebellramp.messages.Violation
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
@@ -33,6 +35,7 @@
  * | 202 | [PendingBody] | `wait` ran out |
  * | 400 | `ErrorBody` | the body is cut short, is not JSON or violates the schema; the id has a wrong form or a time in the future |
  * | 404 | `ErrorBody` | unknown service, or an id that this entry does not know |
+ * | 408 | `ErrorBody` | headers and body were not whole in time; the server says so before a route is asked |
  * | 409 | `ErrorBody` | the id belongs to another body |
  * | 410 | `ErrorBody` | the id is too old |
  * | 413 | `ErrorBody` | the body is too large |
@@ -82,18 +85,18 @@
             }
 
             BodyResult.TooLarge -> {
-                refuse(ErrorBody(ErrorCode.BODY_TOO_LARGE, "The body must be at most $bodyBytes bytes."))
+                refuse(errorAt("$", ErrorCode.BODY_TOO_LARGE, "The body must be at most $bodyBytes bytes."))
             }
 
             BodyResult.Cut -> {
-                refuse(ErrorBody(ErrorCode.INVALID_BODY, "The body is cut short."))
+                refuse(errorAt("$", ErrorCode.INVALID_BODY, "The body is cut short or is not UTF-8."))
             }
         }
     }
 
     private suspend fun ApplicationCall.accept(submission: NewSubmission) {
         val refusal = shell.use { now -> limits(submission, now) }
-        if (refusal != null) return refuse(refusal)
+        if (refusal != null) return refuse(refusal.withPath())
         val started = metrics.start()
         val reply = await(submission.id, shell.submit(submission)) ?: return
         metrics.finish(started, submission.kind, reply)
@@ -140,6 +143,16 @@
     private fun ApplicationCall.id() = SubmissionId.parse(parameters["id"].orEmpty())
 }
 
+private fun errorAt(
+    path: String,
+    code: ErrorCode,
+    message: String,
+) = ErrorBody(code, message, listOf(Violation(path, message)))
+
+/** Adds the place in the body of an error that the core, which knows no bodies, found. */
+private fun ErrorBody.withPath() =
+    if (code == ErrorCode.UNKNOWN_SERVICE && violations.isEmpty()) errorAt("$.service", code, message) else this
+
 /** The value of `wait` (ms), or null if the call waits for the answer. */
 internal fun ApplicationCall.waitMillis(): Long? = request.queryParameters["wait"]?.toLongOrNull()?.coerceAtLeast(0)
 
@@ -163,6 +176,7 @@
         ErrorCode.NOT_FOUND, ErrorCode.UNKNOWN_SERVICE -> HttpStatusCode.NotFound
         ErrorCode.SUBMISSION_CONFLICT -> HttpStatusCode.Conflict
         ErrorCode.EXPIRED_SUBMISSION -> HttpStatusCode.Gone
+        ErrorCode.REQUEST_TIMEOUT -> HttpStatusCode.RequestTimeout
         ErrorCode.BODY_TOO_LARGE -> HttpStatusCode.PayloadTooLarge
         ErrorCode.NEVER_RUNNABLE -> HttpStatusCode.UnprocessableEntity
         ErrorCode.INTERNAL -> HttpStatusCode.InternalServerError
--- a/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionReader.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionReader.kt
@@ -92,7 +92,7 @@
                 )
             }
         val submission = convert(decoded, digest(type, StrictJson.encodeToString(serializer, decoded)))
-        if (!isPlain(submission)) {
+        if (!isPlain(submission) || (submission.hasOptions() && QUOTED.containsMatchIn(text))) {
             val violations = SchemaValidator.violations(text, type)
             if (violations.isNotEmpty()) return invalid(type, violations)
         }
@@ -110,6 +110,10 @@
             submission.tasks.all { it.isPlain() }
     }
 
+    /** True if a field is set that is no text. */
+    private fun NewSubmission.hasOptions() =
+        deadlineMillis != null || idempotent || tasks.any { it.declaredMillis != null || it.declaredMegabytes != null }
+
     private fun TaskSpecification.isPlain() =
         id.length in 1..MAX_ID_LENGTH &&
             payload.length <= MAX_PAYLOAD &&
@@ -120,13 +124,11 @@
         val age = Duration.between(submission.id.instant, clock.wall())
         return when {
             age > OLDEST -> {
-                ReadResult.Invalid(
-                    ErrorBody(ErrorCode.EXPIRED_SUBMISSION, "The submission id is older than ${OLDEST.toMinutes()} min."),
-                )
+                refusedId(ErrorCode.EXPIRED_SUBMISSION, "The submission id is older than ${OLDEST.toMinutes()} min.")
             }
 
             age < NEWEST.negated() -> {
-                invalidId("The submission id is more than ${NEWEST.toMinutes()} min in the future.")
+                refusedId(ErrorCode.INVALID_SUBMISSION, "The submission id is more than ${NEWEST.toSeconds()} s in the future.")
             }
 
             else -> {
@@ -135,8 +137,10 @@
         }
     }
 
-    private fun invalidId(message: String) =
-        ReadResult.Invalid(ErrorBody(ErrorCode.INVALID_SUBMISSION, message, listOf(Violation("$.submission", message))))
+    private fun refusedId(
+        code: ErrorCode,
+        message: String,
+    ) = ReadResult.Invalid(ErrorBody(code, message, listOf(Violation("$.submission", message))))
 
     private fun checkTasks(submission: NewSubmission): ReadResult.Invalid? {
         val seen = HashSet<String>()
@@ -177,6 +181,9 @@
         private const val MAX_ID_LENGTH = 64
         private const val MAX_PAYLOAD = 65_536
         private const val MAX_DEADLINE_MILLIS = 600_000L
+
+        /** The decoder takes a number or a truth value in quotes, which the schema does not allow. */
+        private val QUOTED = Regex(""""(deadlineMillis|declaredMillis|declaredMegabytes|idempotent)"\s*:\s*"""")
         private val ID = Regex("^[a-z0-9][a-z0-9.-]{0,62}$")
 
         /** The members remember a claim for longer than this after the time inside the id. */
