A 408 is never taken for the answer to another request

Cause: read again: with one request answered late and the next one trickling in, the 408 would have stood where the first answer belongs. Change: a request counts from its first byte; 408 is written only if it is the one that is unanswered, else the connection is cut. Test: both orders in the virtual time of an embedded channel.

--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/RequestTimeLimit.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/RequestTimeLimit.kt
@@ -32,7 +32,6 @@
 ) : ChannelDuplexHandler() {
     private var isArriving = false
     private var isUpgraded = false
-    private var isResponding = false
     private var hasRead = false
     private var unanswered = 0
     private var timer: ScheduledFuture<*>? = null
@@ -51,10 +50,7 @@
         message: Any,
     ) {
         hasRead = true
-        if (message is HttpRequest) {
-            unanswered++
-            arrive(context)
-        }
+        if (message is HttpRequest) arrive(context)
         if (message is LastHttpContent) {
             isArriving = false
             restart(context)
@@ -73,27 +69,23 @@
         message: Any,
         promise: ChannelPromise,
     ) {
-        if (message is HttpResponse) respond(message.status())
+        if (message is HttpResponse && message.status() == HttpResponseStatus.SWITCHING_PROTOCOLS) upgrade()
         if (message is LastHttpContent) {
-            isResponding = false
             unanswered = maxOf(0, unanswered - 1)
             if (!isArriving) restart(context)
         }
         context.write(message, promise)
     }
 
-    private fun respond(status: HttpResponseStatus) {
-        if (status == HttpResponseStatus.CONTINUE) return
-        isResponding = true
-        if (status == HttpResponseStatus.SWITCHING_PROTOCOLS) {
-            isUpgraded = true
-            stop()
-        }
+    private fun upgrade() {
+        isUpgraded = true
+        stop()
     }
 
     private fun arrive(context: ChannelHandlerContext) {
         if (isArriving || isUpgraded) return
         isArriving = true
+        unanswered++
         start(context, limits.request) { refuse(context) }
     }
 
@@ -117,11 +109,12 @@
         timer = null
     }
 
+    /** Says why, unless the response could be taken for the one to an earlier request or for a second one. */
     private fun refuse(context: ChannelHandlerContext) {
-        if (isResponding || unanswered > 1) {
-            context.close()
-        } else {
+        if (unanswered == 1) {
             context.writeAndFlush(timeoutResponse()).addListener(ChannelFutureListener.CLOSE)
+        } else {
+            context.close()
         }
     }
 
--- a/runtime/src/test/kotlin/io/bluebellramp/runtime/RequestTimeLimitTest.kt
+++ b/runtime/src/test/kotlin/io/bluebellramp/runtime/RequestTimeLimitTest.kt
@@ -11,11 +11,11 @@
 import org.junit.jupiter.api.Nested
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
-import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
@@ -24,22 +24,28 @@
 /** Runs in the virtual time of an embedded channel. */
 class RequestTimeLimitTest {
     private val limits = ConnectionLimits(request = 15.seconds, idle = 5.minutes)
-    private val channel = EmbeddedChannel(HttpServerCodec(), RequestTimeLimit(limits)).apply { freezeTime() }
+    private val channel = channel()
 
-    private fun receive(text: String) {
-        channel.writeInbound(Unpooled.copiedBuffer(text, Charsets.US_ASCII))
-    }
+    private fun channel() = EmbeddedChannel(HttpServerCodec(), RequestTimeLimit(limits)).apply { freezeTime() }
+
+    private fun receive(
+        vararg texts: String,
+        to: EmbeddedChannel = channel,
+    ) = texts.forEach { to.writeInbound(Unpooled.copiedBuffer(it, Charsets.US_ASCII)) }
 
-    private fun pass(time: Duration) {
+    private fun pass(
+        time: Duration,
+        channel: EmbeddedChannel = this.channel,
+    ) {
         channel.advanceTimeBy(time.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         channel.runScheduledPendingTasks()
     }
 
-    private fun sent() =
+    private fun sent(channel: EmbeddedChannel = this.channel) =
         generateSequence { channel.readOutbound<Any>() }.filterIsInstance<ByteBuf>().joinToString("") { it.toString(Charsets.US_ASCII) }
 
-    private fun answer(status: HttpResponseStatus = HttpResponseStatus.OK) =
-        channel.writeOutbound(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER))
+    private fun answer(channel: EmbeddedChannel = this.channel) =
+        channel.writeOutbound(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER))
 
     private fun assertTimedOut() {
         val text = sent()
@@ -82,12 +88,16 @@
         }
 
         @Test
-        fun `is cut without a second response when one has begun`() {
-            receive("$HEAD\r\n")
-            channel.writeOutbound(DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK))
-            pass(15.seconds)
-            assertFalse("408" in sent())
-            assertFalse(channel.isOpen)
+        fun `is cut without a word when that could be taken for another answer`() {
+            val answered = channel()
+            receive("$HEAD\r\nbody", "GET /y")
+            receive("$HEAD\r\n", to = answered)
+            answer(answered)
+            listOf(channel, answered).forEach {
+                pass(15.seconds, it)
+                assertFalse("408" in sent(it))
+                assertFalse(it.isOpen)
+            }
         }
     }
 
@@ -105,17 +115,15 @@
 
         @Test
         fun `is closed when it is idle for long, before its first request or after an answer`() {
-            val fresh = EmbeddedChannel(HttpServerCodec(), RequestTimeLimit(limits)).apply { freezeTime() }
+            val fresh = channel()
             receive("$HEAD\r\nbody")
             pass(1.hours)
             answer()
             listOf(fresh, channel).forEach {
-                it.advanceTimeBy(limits.idle.inWholeMilliseconds - 1, TimeUnit.MILLISECONDS)
-                it.runScheduledPendingTasks()
+                pass(limits.idle - 1.milliseconds, it)
                 assertTrue(it.isOpen)
-                it.advanceTimeBy(1, TimeUnit.MILLISECONDS)
-                it.runScheduledPendingTasks()
-                assertEquals(false, it.isOpen)
+                pass(1.milliseconds, it)
+                assertFalse(it.isOpen)
             }
         }
     }
