Authentication is off on loopback addresses only, not on names that look like one

Cause: any host that begins with 127. counted as loopback, so 127.example.org could listen without a key; a missing key file was reported by its bare path. Change: four numbers are required after 127; a file that cannot be read says so. Each has a case in SharedKeyTest.

--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/SharedKey.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/SharedKey.kt
@@ -18,6 +18,7 @@
 
     companion object {
         private const val MIN_LENGTH = 16
+        private val loopback = Regex("^127(\\.[0-9]{1,3}){3}$")
         private val forbidden =
             setOf(
                 PosixFilePermission.GROUP_READ,
@@ -29,7 +30,7 @@
         /**
          * Reads the key from [file], or returns null if [file] is null.
          *
-         * @throws IllegalArgumentException if others may read the file, if the key is short, or if there is no key and
+         * @throws IllegalArgumentException if the file can't be read or others may read it, if the key is short, or if there is no key and
          *   [listenHost] is not a loopback address
          */
         fun read(
@@ -42,12 +43,13 @@
                 return null
             }
             val path = Path.of(file)
+            require(Files.isReadable(path)) { "$file cannot be read" }
             require(Files.getPosixFilePermissions(path).none { it in forbidden }) { "$file must be readable by its owner only" }
             val secret = Files.readString(path).trim()
             require(secret.length >= MIN_LENGTH) { "$file must hold at least $MIN_LENGTH characters" }
             return SharedKey(secret)
         }
 
-        private fun isLoopback(host: String) = host.startsWith("127.") || host == "localhost" || host == "::1" || host == "[::1]"
+        private fun isLoopback(host: String) = loopback.matches(host) || host == "localhost" || host == "::1" || host == "[::1]"
     }
 }
--- a/runtime/src/test/kotlin/io/bluebellramp/runtime/SharedKeyTest.kt
+++ b/runtime/src/test/kotlin/io/bluebellramp/runtime/SharedKeyTest.kt
@@ -33,6 +33,11 @@
             assertFailsWith<IllegalArgumentException> { SharedKey.read(file("0123456789abcdef", "rw-r--r--"), "127.0.0.1") }
         }
 
+        @Test
+        fun `that is not there is refused`() {
+            assertFailsWith<IllegalArgumentException> { SharedKey.read(folder.resolve("none").toString(), "127.0.0.1") }
+        }
+
         @Test
         fun `that is short is refused`() {
             assertFailsWith<IllegalArgumentException> { SharedKey.read(file("short", "rw-------"), "127.0.0.1") }
@@ -52,7 +57,9 @@
         @Test
         fun `is possible on loopback only`() {
             assertNull(SharedKey.read(null, "127.0.0.1"))
-            assertFailsWith<IllegalArgumentException> { SharedKey.read(null, "10.0.0.1") }
+            listOf("10.0.0.1", "0.0.0.0", "127.example.org").forEach { host ->
+                assertFailsWith<IllegalArgumentException>(host) { SharedKey.read(null, host) }
+            }
         }
     }
 }
