Command line: tasks done in the bar, JSON for diff, exit code 2, cancel asks every entry

Cause: wrong options exited with 127, the library's own code, where the pages say 2; config diff had no JSON; the bar showed the time only; cancel stopped at the first entry that does not know the id. Change: argumentParser prints the usage on standard error and exits with 2, for server programs and the command line. The bar asks GET /v1/jobs/ID?wait=0 and shows the tasks done when an entry says them, else the time. cancel goes on to the next entry after not_found. Commands that read and print, and those that take out and return, are one piece each.

--- a/cli/src/main/kotlin/io/bluebellramp/cli/Command.kt
+++ b/cli/src/main/kotlin/io/bluebellramp/cli/Command.kt
@@ -1,8 +1,10 @@
 package io.bluebellramp.cli
 
 import io.bluebellramp.runtime.ExitCode
+import io.bluebellramp.runtime.argumentParser
 import kotlinx.cli.ArgParser
 import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.KSerializer
 
 /**
  * One command of the command line.
@@ -18,7 +20,7 @@
 
     /** Parses [args] and runs the command. Returns the exit code. */
     fun run(args: List<String>): Int {
-        val parser = ArgParser("$PROGRAM $name")
+        val parser = argumentParser("$PROGRAM $name")
         val common = CommonOptions(parser)
         val action = declare(parser)
         parser.parse(args.toTypedArray())
@@ -38,6 +40,18 @@
     suspend fun execute(session: Session): Int
 }
 
+/** Returns an action that prints what [read] gives, as JSON or as [text] says. */
+internal fun <T> printing(
+    serializer: KSerializer<T>,
+    read: suspend (Session) -> CallResult<T>,
+    text: (T) -> String,
+) = Action { session ->
+    read(session).report(session.output) { value ->
+        session.output.print(value, serializer, text)
+        ExitCode.OK
+    }
+}
+
 /** Prints [message] as an error in the arguments. */
 internal fun usageError(message: String): Int {
     System.err.println(message)
--- a/cli/src/main/kotlin/io/bluebellramp/cli/ConfigCommands.kt
+++ b/cli/src/main/kotlin/io/bluebellramp/cli/ConfigCommands.kt
@@ -1,11 +1,13 @@
 package io.bluebellramp.cli
 
+import io.bluebellramp.core.Revision
 import io.bluebellramp.messages.ConfigurationView
 import io.bluebellramp.runtime.ExitCode
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
 import kotlinx.cli.multiple
+import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
@@ -17,13 +19,7 @@
 
 /** Prints the accepted configuration. */
 internal class ConfigShowCommand : Command(name = "config show", summary = "Print the accepted configuration") {
-    override fun declare(parser: ArgParser) =
-        Action { session ->
-            session.control.configuration().report(session.output) { view ->
-                session.output.print(view, ConfigurationView.serializer()) { it.text() }
-                ExitCode.OK
-            }
-        }
+    override fun declare(parser: ArgParser) = printing(ConfigurationView.serializer(), { it.control.configuration() }) { it.text() }
 
     private fun ConfigurationView.text(): String {
         val parts = mutableListOf("revision $revision", "base ${prettyJson.encodeToString(JsonObject.serializer(), base)}")
@@ -41,21 +37,36 @@
         return Action { session ->
             val read = files.read() ?: return@Action ExitCode.USAGE
             session.control.configuration().report(session.output) { view ->
-                val lines =
-                    read.base
-                        ?.let { jsonDifferences(view.base, it, "$") }
-                        .orEmpty()
-                        .toMutableList()
-                read.overlays.forEach { (site, patch) ->
-                    lines += jsonDifferences(view.overlays[site] ?: JsonObject(emptyMap()), patch, "overlay $site: $")
-                }
-                println(lines.joinToString("\n").ifEmpty { "no differences from revision ${view.revision}" })
+                session.output.print(read.differencesFrom(view), ConfigurationDifferences.serializer()) { it.text() }
                 ExitCode.OK
             }
         }
     }
+
+    private fun ReadFiles.differencesFrom(view: ConfigurationView): ConfigurationDifferences {
+        val ofBase = base?.let { jsonDifferences(view.base, it, "$") }.orEmpty()
+        val ofOverlays =
+            overlays.flatMap { (site, patch) ->
+                jsonDifferences(view.overlays[site] ?: JsonObject(emptyMap()), patch, "overlay $site: $")
+            }
+        return ConfigurationDifferences(revision = view.revision, differences = ofBase + ofOverlays)
+    }
+
+    private fun ConfigurationDifferences.text() = differences.joinToString("\n").ifEmpty { "no differences from revision $revision" }
 }
 
+/**
+ * How files differ from the accepted configuration.
+ *
+ * @property revision the revision that they were compared with
+ * @property differences one line for each difference: `+`, `-` or `~`, its JSON path and the values
+ */
+@Serializable
+internal class ConfigurationDifferences(
+    val revision: Revision,
+    val differences: List<String>,
+)
+
 /** Makes files the accepted configuration. */
 internal class ConfigApplyCommand : Command(name = "config apply", summary = "Change the base file and site overlays") {
     override fun declare(parser: ArgParser): Action {
--- a/cli/src/main/kotlin/io/bluebellramp/cli/MemberCommands.kt
+++ b/cli/src/main/kotlin/io/bluebellramp/cli/MemberCommands.kt
@@ -5,20 +5,13 @@
 import io.bluebellramp.messages.MembershipAction
 import io.bluebellramp.messages.MembershipRequest
 import io.bluebellramp.messages.StatusView
-import io.bluebellramp.runtime.ExitCode
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.required
 
 /** Prints the members of the control cluster. */
 internal class MemberListCommand : Command(name = "control list", summary = "Print the members of the control cluster") {
-    override fun declare(parser: ArgParser) =
-        Action { session ->
-            session.control.status().report(session.output) { status ->
-                session.output.print(status, StatusView.serializer()) { it.membersText() }
-                ExitCode.OK
-            }
-        }
+    override fun declare(parser: ArgParser) = printing(StatusView.serializer(), { it.control.status() }) { it.membersText() }
 }
 
 /** Adds a member. */
@@ -26,7 +19,7 @@
     override fun declare(parser: ArgParser): Action {
         val member by parser.argument(ArgType.String, fullName = "member", description = "New member id")
         val address by parser.option(ArgType.String, fullName = "address", description = "HOST:PORT of the member").required()
-        return Action { changeMembers(it, MembershipRequest(MembershipAction.ADD, MemberId(member), Address(address))) }
+        return Action { changeMembers(MembershipRequest(MembershipAction.ADD, MemberId(member), Address(address))).execute(it) }
     }
 }
 
@@ -34,7 +27,7 @@
 internal class MemberRemoveCommand : Command(name = "control remove", summary = "Remove a member; its id never comes back") {
     override fun declare(parser: ArgParser): Action {
         val member by parser.argument(ArgType.String, fullName = "member", description = "Member id")
-        return Action { changeMembers(it, MembershipRequest(MembershipAction.REMOVE, MemberId(member))) }
+        return Action { changeMembers(MembershipRequest(MembershipAction.REMOVE, MemberId(member))).execute(it) }
     }
 }
 
@@ -45,19 +38,13 @@
         val member by parser.option(ArgType.String, fullName = "by", description = "New member id").required()
         val address by parser.option(ArgType.String, fullName = "address", description = "HOST:PORT of the new member").required()
         return Action {
-            changeMembers(it, MembershipRequest(MembershipAction.REPLACE, MemberId(member), Address(address), MemberId(replaced)))
+            changeMembers(MembershipRequest(MembershipAction.REPLACE, MemberId(member), Address(address), MemberId(replaced))).execute(it)
         }
     }
 }
 
-private suspend fun changeMembers(
-    session: Session,
-    request: MembershipRequest,
-): Int =
-    session.control.changeMembership(request).report(session.output) { status ->
-        session.output.print(status, StatusView.serializer()) { it.membersText() }
-        ExitCode.OK
-    }
+private fun changeMembers(request: MembershipRequest) =
+    printing(StatusView.serializer(), { it.control.changeMembership(request) }) { it.membersText() }
 
 /** A line for each member. */
 internal fun StatusView.membersText(): String =
--- a/cli/src/main/kotlin/io/bluebellramp/cli/ServiceCommands.kt
+++ b/cli/src/main/kotlin/io/bluebellramp/cli/ServiceCommands.kt
@@ -2,8 +2,8 @@
 
 import io.bluebellramp.core.TargetId
 import io.bluebellramp.core.ZoneId
+import io.bluebellramp.messages.ChangeRequest
 import io.bluebellramp.messages.ConfigurationView
-import io.bluebellramp.runtime.ExitCode
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.serialization.json.JsonArray
@@ -16,17 +16,18 @@
 ) {
     OUT("out"),
     IN("in"),
+    ;
+
+    /** What a command in this direction does with [what], in one line. */
+    fun summary(what: String) = if (this == OUT) "Take $what out of service" else "Return $what to service"
 }
 
+private const val ZONE = "an availability zone"
+private const val TARGET = "a target"
+
 /** Prints the availability zones and whether each is in service. */
 internal class ZoneListCommand : Command(name = "zone list", summary = "Print the availability zones and their state") {
-    override fun declare(parser: ArgParser) =
-        Action { session ->
-            session.control.configuration().report(session.output) { view ->
-                session.output.print(view, ConfigurationView.serializer()) { it.zoneText() }
-                ExitCode.OK
-            }
-        }
+    override fun declare(parser: ArgParser) = printing(ConfigurationView.serializer(), { it.control.configuration() }) { it.zoneText() }
 
     private fun ConfigurationView.zoneText(): String =
         (base["sites"] as? JsonObject)
@@ -38,58 +39,40 @@
         (site?.get("zones") as? JsonArray).orEmpty().map { (it as JsonPrimitive).content }
 }
 
-/** Takes an availability zone out of service or returns it. */
-internal class ZoneChangeCommand(
-    private val direction: Direction,
-) : Command(name = "zone ${direction.word}", summary = "Take an availability zone ${direction.word} of service".returning(direction)) {
-    override fun declare(parser: ArgParser): Action {
-        val zone by parser.argument(ArgType.String, fullName = "zone", description = "Availability zone")
-        val options = ChangeOptions(parser)
-        return Action { session ->
-            val zones = listOf(ZoneId(zone))
-            applyChange(session, options) { if (direction == Direction.OUT) it.copy(zonesOut = zones) else it.copy(zonesIn = zones) }
-        }
-    }
-}
-
 /** Prints the targets that are out of service. */
 internal class TargetListCommand : Command(name = "target list", summary = "Print the targets that are out of service") {
     override fun declare(parser: ArgParser) =
-        Action { session ->
-            session.control.configuration().report(session.output) { view ->
-                session.output.print(view, ConfigurationView.serializer()) { it.targetsOut.joinToString("\n").ifEmpty { "none is out" } }
-                ExitCode.OK
-            }
-        }
+        printing(
+            ConfigurationView.serializer(),
+            { it.control.configuration() },
+        ) { it.targetsOut.joinToString("\n").ifEmpty { "none is out" } }
 }
 
-/** Takes a target out of service or returns it. */
-internal class TargetChangeCommand(
-    private val direction: Direction,
-) : Command(name = "target ${direction.word}", summary = "Take a target ${direction.word} of service".returning(direction)) {
+/**
+ * Takes something out of service or returns it.
+ *
+ * @param noun the first word of the command
+ * @param what what is taken out or returned, for people
+ * @param edit adds the id to the change
+ */
+internal class ServiceChangeCommand(
+    private val noun: String,
+    private val what: String,
+    direction: Direction,
+    private val edit: ChangeRequest.(id: String) -> ChangeRequest,
+) : Command(name = "$noun ${direction.word}", summary = direction.summary(what)) {
     override fun declare(parser: ArgParser): Action {
-        val target by parser.argument(ArgType.String, fullName = "target", description = "Target")
+        val id by parser.argument(ArgType.String, fullName = noun, description = "Id of $what")
         val options = ChangeOptions(parser)
-        return Action { session ->
-            val targets = listOf(TargetId(target))
-            applyChange(session, options) {
-                if (direction ==
-                    Direction.OUT
-                ) {
-                    it.copy(targetsOut = targets)
-                } else {
-                    it.copy(targetsIn = targets)
-                }
-            }
-        }
+        return Action { session -> applyChange(session, options) { it.edit(id) } }
     }
 }
 
-private fun String.returning(direction: Direction) =
-    if (direction ==
-        Direction.IN
-    ) {
-        replace("Take", "Return").replace("in of", "to")
-    } else {
-        this
-    }
+/** The commands that take availability zones and targets out of service and return them. */
+internal val serviceChangeCommands =
+    listOf(
+        ServiceChangeCommand("zone", ZONE, Direction.OUT) { copy(zonesOut = listOf(ZoneId(it))) },
+        ServiceChangeCommand("zone", ZONE, Direction.IN) { copy(zonesIn = listOf(ZoneId(it))) },
+        ServiceChangeCommand("target", TARGET, Direction.OUT) { copy(targetsOut = listOf(TargetId(it))) },
+        ServiceChangeCommand("target", TARGET, Direction.IN) { copy(targetsIn = listOf(TargetId(it))) },
+    )
--- a/cli/src/main/kotlin/io/bluebellramp/cli/StatusCommand.kt
+++ b/cli/src/main/kotlin/io/bluebellramp/cli/StatusCommand.kt
@@ -1,18 +1,11 @@
 package io.bluebellramp.cli
 
 import io.bluebellramp.messages.StatusView
-import io.bluebellramp.runtime.ExitCode
 import kotlinx.cli.ArgParser
 
 /** Prints members, leader, the revision in force and who lags. */
 internal class StatusCommand : Command(name = "status", summary = "Print members, leader, revision in force and who lags") {
-    override fun declare(parser: ArgParser) =
-        Action { session ->
-            session.control.status().report(session.output) { status ->
-                session.output.print(status, StatusView.serializer()) { it.text() }
-                ExitCode.OK
-            }
-        }
+    override fun declare(parser: ArgParser) = printing(StatusView.serializer(), { it.control.status() }) { it.text() }
 
     private fun StatusView.text(): String =
         buildString {
--- a/cli/src/main/kotlin/io/bluebellramp/cli/SubmitCommand.kt
+++ b/cli/src/main/kotlin/io/bluebellramp/cli/SubmitCommand.kt
@@ -38,7 +38,12 @@
                     null -> equalTasks(id, service, team, tasks, payload, deadline)
                     else -> read(path) ?: return@Action ExitCode.USAGE
                 }
-            val answer = waitingBar(job.submission, show = !session.output.json) { session.entry.submit(job) }
+            val answer =
+                progressBar(
+                    submission = job.submission,
+                    show = !session.output.json,
+                    progress = { session.entry.progress(job.submission) },
+                ) { session.entry.submit(job) }
             answer.report(session.output) { printAnswer(session.output, it) }
         }
     }
--- a/cli/src/test/kotlin/io/bluebellramp/cli/EntryClientTest.kt
+++ b/cli/src/test/kotlin/io/bluebellramp/cli/EntryClientTest.kt
@@ -5,6 +5,7 @@
 import io.bluebellramp.core.SubmissionId
 import io.bluebellramp.messages.Answer
 import io.bluebellramp.messages.AnswerOutcome
+import io.bluebellramp.messages.ErrorCode
 import io.bluebellramp.messages.JobSubmission
 import io.bluebellramp.messages.TaskSpecification
 import io.bluebellramp.runtime.httpLink
@@ -40,6 +41,44 @@
         }
     }
 
+    @Nested
+    inner class `A cancel` {
+        private val unknown = """{"code":"not_found","message":"This entry does not know $id."}"""
+
+        @Test
+        fun `goes on to the entry that knows the id`() {
+            val first = FakeEntry(answer = unknown, status = 404)
+            val second = FakeEntry(answer = """{"submission":"$id","outcome":"not_run"}""")
+            listOf(first, second).use {
+                val result = runBlocking { httpLink().use { EntryClient(it, listOf(first.address, second.address)).cancel(id) } }
+                assertEquals(AnswerOutcome.NOT_RUN, assertIs<CallResult.Answered<Answer>>(result).value.outcome)
+            }
+        }
+
+        @Test
+        fun `asks each entry once when none knows the id`() {
+            val entries = List(2) { FakeEntry(answer = unknown, status = 404) }
+            entries.use {
+                val result = runBlocking { httpLink().use { http -> EntryClient(http, entries.map { it.address }).cancel(id) } }
+                assertEquals(ErrorCode.NOT_FOUND, assertIs<CallResult.Refused>(result).error.code)
+                assertEquals(listOf(1, 1), entries.map { it.bodies.size })
+            }
+        }
+    }
+
+    @Nested
+    inner class `Progress` {
+        @Test
+        fun `is that of the entry that says it`() {
+            val silent = FakeEntry(answer = """{"submission":"$id"}""", status = 202)
+            val owner = FakeEntry(answer = """{"submission":"$id","tasks":5,"tasksDone":2}""", status = 202)
+            listOf(silent, owner).use {
+                val pending = runBlocking { httpLink().use { EntryClient(it, listOf(silent.address, owner.address)).progress(id) } }
+                assertEquals(5 to 2, pending?.tasks to pending?.tasksDone)
+            }
+        }
+    }
+
     private fun List<Closeable>.use(block: () -> Unit) =
         try {
             block()
@@ -50,6 +89,7 @@
     /** Reads each request whole, then answers it, or closes the connection without an answer. */
     private class FakeEntry(
         private val answer: String?,
+        private val status: Int = 200,
     ) : Closeable {
         private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
         val bodies = CopyOnWriteArrayList<String>()
@@ -68,16 +108,18 @@
             val headers = generateSequence { reader.readLine()?.ifEmpty { null } }.toList()
             val length =
                 headers
-                    .first { it.startsWith("content-length", ignoreCase = true) }
-                    .substringAfter(':')
-                    .trim()
-                    .toInt()
+                    .firstOrNull { it.startsWith("content-length", ignoreCase = true) }
+                    ?.substringAfter(':')
+                    ?.trim()
+                    ?.toInt() ?: 0
             val body = CharArray(length)
             var read = 0
             while (read < length) read += reader.read(body, read, length - read)
             bodies += String(body)
             val text = answer ?: return
-            val head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: ${text.length}\r\nConnection: close\r\n\r\n"
+            val head =
+                "HTTP/1.1 $status Status\r\nContent-Type: application/json\r\n" +
+                    "Content-Length: ${text.length}\r\nConnection: close\r\n\r\n"
             socket.getOutputStream().write((head + text).toByteArray())
         }
 
--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/Program.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/Program.kt
@@ -1,7 +1,6 @@
 package io.bluebellramp.runtime
 
 import io.bluebellramp.messages.Violation
-import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
 import sun.misc.Signal
@@ -52,7 +51,7 @@
         println("$name $VERSION")
         exitProcess(ExitCode.OK)
     }
-    val parser = ArgParser(name)
+    val parser = argumentParser(name)
     val config by parser.option(ArgType.String, fullName = "config", description = "Settings file (JSON)")
     val check by parser.option(ArgType.Boolean, fullName = "check", description = "Check the settings and exit").default(false)
     parser.option(ArgType.Boolean, fullName = "version", description = "Print the version and exit").default(false)
