--- a/bench/src/main/kotlin/io/bluebellramp/bench/LoadCommand.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/LoadCommand.kt
@@ -3,6 +3,7 @@
 import io.bluebellramp.core.ServiceId
 import io.bluebellramp.core.SystemClock
 import io.bluebellramp.core.TeamId
+import io.bluebellramp.core.ZoneId
 import io.bluebellramp.runtime.ExitCode
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
@@ -57,6 +58,16 @@
         "starts",
         description = "Starts file of a sample target, for starts a second",
     ).multiple()
+    private val zones by option(
+        ArgType.String,
+        "zone",
+        description = "ZONE:SLOTS=FILE,FILE: slots and starts files of an availability zone; may be given again",
+    ).multiple()
+    private val changes by option(
+        ArgType.String,
+        "changes",
+        description = "File of lines MILLIS out|in ZONE, written when a change is accepted; read at the end",
+    )
     private val history by option(ArgType.String, "history", description = "File for one JSON line per submission")
     private val out by option(ArgType.String, "out", description = "File for the report (JSON)")
 
@@ -87,6 +98,8 @@
             scrapes = scrapes,
             pids = pids,
             startsFiles = startsFiles.map { Path.of(it) },
+            zones = zones.map { zone(it) },
+            changes = changes?.let { Path.of(it) },
             history = history?.let { Path.of(it) },
         )
 
@@ -108,11 +121,22 @@
         return Mark(second = second, text = text.substringAfter(':', ""))
     }
 
+    private fun zone(text: String): ZoneTargets {
+        val (zone, slots, files) =
+            ZONE_OPTION.matchEntire(text)?.destructured
+                ?: throw UsageException("--zone must be ZONE:SLOTS=FILE,FILE")
+        return ZoneTargets(ZoneId(zone), slots.toInt(), files.split(',').map { Path.of(it) })
+    }
+
     private fun <T : Comparable<T>> atLeast(
         name: String,
         value: T,
         least: T,
     ): T = if (value >= least) value else throw UsageException("--$name must be at least $least")
+
+    private companion object {
+        val ZONE_OPTION = Regex("(.+):([0-9]+)=(.+)")
+    }
 }
 
 /** Single requests beside the jobs. */
@@ -142,5 +166,7 @@
     val scrapes: List<String>,
     val pids: List<Int>,
     val startsFiles: List<Path>,
+    val zones: List<ZoneTargets>,
+    val changes: Path?,
     val history: Path?,
 )
--- a/bench/src/main/kotlin/io/bluebellramp/bench/LoadRecords.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/LoadRecords.kt
@@ -10,6 +10,7 @@
 import java.nio.file.Files
 import java.time.Instant
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
 
 /** One submission of a run, for the history file. Times are ms since the first arrival could come. */
@@ -33,6 +34,7 @@
 ) {
     private val ideal = IdealSchedule.responses(plans, settings.workload.slots)
     private val records = ArrayList<SubmissionRecord>()
+    private val planOf = HashMap<SubmissionId, JobPlan>()
 
     fun job(
         plan: JobPlan,
@@ -40,6 +42,7 @@
         result: CallResult,
         now: Duration,
     ) = add(
+        plan,
         SubmissionRecord(
             submission = job.submission,
             kind = JOB,
@@ -59,6 +62,7 @@
         at: Duration,
         now: Duration,
     ) = add(
+        null,
         SubmissionRecord(
             submission = request.submission,
             kind = REQUEST,
@@ -83,6 +87,8 @@
         val requests = records.filter { it.kind == REQUEST }
         val complete = jobs.filter { it.outcome == COMPLETE }
         val tasks = plans.sumOf { it.tasks.size }
+        val startsFiles = (settings.startsFiles + settings.zones.flatMap { it.startsFiles }).distinct()
+        val starts = if (startsFiles.isEmpty()) null else RunStarts(results(jobs), startsFiles, startedAt)
         return LoadReport(
             load = settings.workload.load,
             slots = settings.workload.slots,
@@ -101,13 +107,38 @@
             slowdown = Percentiles.of(complete.map { it.responseMillis() / it.idealMillis }),
             requestMillis = Percentiles.of(requests.filter { it.outcome == COMPLETE }.map { it.responseMillis() }),
             workSeconds = complete.sumOf { it.workMillis } / MILLIS,
-            series = WorkSeries.of(complete, startedAt, settings.startsFiles),
+            series = WorkSeries.of(complete, startedAt, startsFiles),
             marks = settings.marks,
             counters = after.growthSince(before, tasks),
+            starts = starts?.report(),
+            zoneWork = starts?.let { zoneWork(it, startedAt) },
         )
     }
 
-    private fun add(record: SubmissionRecord) = synchronized(records) { records += record }
+    private fun results(jobs: List<SubmissionRecord>): Map<String, JobResult> =
+        jobs.associate { job ->
+            val isNotRun = job.outcome.startsWith(AnswerOutcome.NOT_RUN.wording())
+            job.submission.value to JobResult(planOf.getValue(job.submission), job.answeredMillis.milliseconds, isNotRun)
+        }
+
+    private fun zoneWork(
+        starts: RunStarts,
+        startedAt: Instant,
+    ): ZoneWorkReport? {
+        if (settings.zones.isEmpty()) return null
+        val lines = settings.changes?.let { Files.readAllLines(it) }.orEmpty()
+        val changes = lines.mapNotNull { zoneChange(it, startedAt.toEpochMilli()) }
+        val work = ZoneWork(settings.zones.associate { it.zone to it.slots }, starts.tasks(settings.zones), changes)
+        return ZoneWorkReport(changes = work.changes(), slices = work.slices(settings.workload.length))
+    }
+
+    private fun add(
+        plan: JobPlan?,
+        record: SubmissionRecord,
+    ) = synchronized(records) {
+        records += record
+        if (plan != null) planOf[record.submission] = plan
+    }
 
     private fun SubmissionRecord.responseMillis() = answeredMillis - intendedMillis
 
--- a/bench/src/main/kotlin/io/bluebellramp/bench/LoadReport.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/LoadReport.kt
@@ -68,10 +68,14 @@
     val series: List<SecondOfWork>,
     val marks: List<Mark>,
     val counters: List<CounterGrowth>,
+    /** What the starts files tell, or null if none was given. */
+    val starts: StartsReport? = null,
+    /** Work done while zones left and returned, or null if no zone was given. */
+    val zoneWork: ZoneWorkReport? = null,
 ) {
     /** The report in a few lines. */
     fun wording(): String =
-        listOf(
+        listOfNotNull(
             "load $load on $slots slots for $seconds s, seed $seed: $jobs jobs, $tasks tasks, $requests requests",
             "jobs: ${jobOutcomes.wording()}; requests: ${requestOutcomes.wording()}; wrong answers: $wrong${firstWrong?.let {
                 " ($it)"
@@ -80,6 +84,8 @@
             "slowdown against the ideal: ${slowdown.wording()}",
             "requests (ms): ${requestMillis.wording()}",
             "work done: %.1f s of run time, %.1f slots busy on the mean".format(workSeconds, workSeconds / seconds),
+            starts?.wording(),
+            zoneWork?.wording(),
         ).joinToString("\n")
 
     private fun List<OutcomeCount>.wording() = joinToString { "${it.submissions} ${it.reason}" }.ifEmpty { "none" }
--- a/bench/src/main/kotlin/io/bluebellramp/bench/Main.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/Main.kt
@@ -17,7 +17,7 @@
         println("$PROGRAM $VERSION")
         return
     }
-    val commands = listOf(LoadCommand(), StartsCommand(), TrialCommand())
+    val commands = listOf(LoadCommand(), StartsCommand(), TrialCommand(), FaultyTargetCommand())
     val parser = ArgParser(PROGRAM)
     parser.subcommands(*commands.toTypedArray())
     parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
--- a/bench/src/test/kotlin/io/bluebellramp/bench/LoadRunTest.kt
+++ b/bench/src/test/kotlin/io/bluebellramp/bench/LoadRunTest.kt
@@ -75,6 +75,8 @@
             scrapes = emptyList(),
             pids = emptyList(),
             startsFiles = emptyList(),
+            zones = emptyList(),
+            changes = null,
             history = null,
         )
 
--- /dev/null
+++ b/bench/src/test/kotlin/io/bluebellramp/bench/ZoneWorkTest.kt
@@ -0,0 +1,86 @@
+package io.bluebellramp.bench
+
+import io.bluebellramp.core.ZoneId
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class ZoneWorkTest {
+    private val a = ZoneId("a")
+    private val b = ZoneId("b")
+    private val slots = mapOf(a to 1, b to 1)
+
+    private fun task(
+        zone: ZoneId?,
+        from: Duration,
+        to: Duration,
+        arrived: Duration = Duration.ZERO,
+    ) = RanTask(arrived = arrived, zone = zone, started = from, end = to)
+
+    /** Zone b leaves at 1.5 s and returns at 3 s. */
+    private val changes = listOf(ZoneChange(b, 1500.milliseconds, inService = false), ZoneChange(b, 3.seconds, inService = true))
+
+    @Nested
+    inner class `work of each second` {
+        @Test
+        fun `a second is split where a zone changes`() {
+            val cuts = ZoneWork(slots, emptyList(), changes).slices(4.seconds).map { it.fromMillis }
+            assertEquals(listOf(0.0, 1000.0, 1500.0, 2000.0, 3000.0), cuts)
+        }
+
+        @Test
+        fun `an idle slot counts as lost while tasks wait and not while none does`() {
+            val tasks = listOf(task(a, 0.seconds, 1.seconds), task(a, 1500.milliseconds, 2.seconds, arrived = 1.seconds))
+            val slices = ZoneWork(slots, tasks, emptyList()).slices(3.seconds)
+            assertEquals(listOf(1.0, 0.5, 0.0), slices.map { it.doneSeconds })
+            assertEquals(listOf(1.0, 1.0, 0.0), slices.map { it.allowedSeconds })
+        }
+
+        @Test
+        fun `work in a zone that is out counts neither as done nor as allowed`() {
+            val tasks = listOf(task(a, 0.seconds, 4.seconds), task(b, 1.seconds, 2.seconds, arrived = 1.seconds))
+            val slices = ZoneWork(slots, tasks, changes).slices(4.seconds)
+            assertEquals(listOf(1.0, 1.0, 0.5, 1.0, 1.0), slices.map { it.doneSeconds })
+            assertEquals(slices.map { it.doneSeconds }, slices.map { it.allowedSeconds })
+            assertEquals(listOf(2, 2, 1, 1, 2), slices.map { it.slots })
+        }
+
+        @Test
+        fun `a task that never started waits until its job is answered`() {
+            val slices = ZoneWork(slots, listOf(task(null, 1.seconds, 1.seconds)), emptyList()).slices(2.seconds)
+            assertEquals(listOf(1.0, 0.0), slices.map { it.allowedSeconds })
+        }
+    }
+
+    @Nested
+    inner class `a zone that leaves and returns` {
+        @Test
+        fun `its last start and its first one after its return count from the changes`() {
+            val tasks = listOf(task(b, 1600.milliseconds, 2.seconds), task(b, 3200.milliseconds, 4.seconds))
+            val figures = ZoneWork(slots, tasks, changes).changes().single()
+            assertEquals(100.0, figures.lastStartMillis)
+            assertEquals(200.0, figures.firstStartMillis)
+            assertEquals(200.0, figures.fullWorkMillis)
+        }
+
+        @Test
+        fun `a zone that never works in full again has no time for it`() {
+            val figures = ZoneWork(mapOf(b to 2), listOf(task(b, 3200.milliseconds, 4.seconds)), changes).changes().single()
+            assertNull(figures.fullWorkMillis)
+            assertNull(figures.lastStartMillis)
+        }
+    }
+
+    @Nested
+    inner class `a line of the changes file` {
+        @Test
+        fun `tells the zone and the time from the start of the run`() {
+            assertEquals(ZoneChange(b, 500.milliseconds, inService = false), zoneChange("1500 out b", startedAtMillis = 1000))
+            assertNull(zoneChange("1500 leader-killed control-1", startedAtMillis = 1000))
+        }
+    }
+}
