Credits by target in one piece for both pools

LeastRunningPool and SpreadingPool kept credits and running tasks of a target in the same code. CreditHoldings does it for both; the state of stragglers stays with SpreadingPool.

--- a/placement/src/main/kotlin/io/bluebellramp/placement/LeastRunningPool.kt
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/LeastRunningPool.kt
@@ -6,27 +6,18 @@
 
 /** Spends a credit of the target on which this entry has the fewest tasks, so that a job spreads over targets and zones. */
 class LeastRunningPool : CreditPool {
-    private class Holding(
-        val zone: ZoneId,
-        var credits: Int = 0,
-        var running: Int = 0,
-    )
-
-    private val targets = LinkedHashMap<TargetId, Holding>()
+    private val holdings = CreditHoldings {}
 
     override fun grant(
         target: TargetId,
         zone: ZoneId,
         credits: Int,
-    ) {
-        targets.getOrPut(target) { Holding(zone) }.credits += credits
-    }
+    ) = holdings.grant(target, zone, credits)
 
     override fun spend(now: Duration): CreditedTarget? {
-        val (target, holding) = targets.entries.filter { it.value.credits > 0 }.minByOrNull { it.value.running } ?: return null
-        holding.credits--
-        holding.running++
-        return holding.view(target)
+        val holding = holdings.all.filter { it.credits > 0 }.minByOrNull { it.running } ?: return null
+        holding.spend()
+        return holding.view()
     }
 
     override fun ended(
@@ -37,24 +28,15 @@
     ) = notRun(target)
 
     override fun notRun(target: TargetId) {
-        targets[target]?.let { it.running = maxOf(0, it.running - 1) }
+        holdings[target]?.release()
     }
 
     override fun withdraw(
         target: TargetId,
         credits: Int,
-    ): Int {
-        val holding = targets[target] ?: return 0
-        val taken = minOf(credits, holding.credits)
-        holding.credits -= taken
-        return taken
-    }
-
-    override fun drop(target: TargetId) {
-        targets.remove(target)
-    }
+    ): Int = holdings.withdraw(target, credits)
 
-    override fun unspent(): List<CreditedTarget> = targets.filterValues { it.credits > 0 }.map { (target, holding) -> holding.view(target) }
+    override fun drop(target: TargetId) = holdings.drop(target)
 
-    private fun Holding.view(target: TargetId) = CreditedTarget(target = target, zone = zone, credits = credits, running = running)
+    override fun unspent(): List<CreditedTarget> = holdings.unspent()
 }
--- a/placement/src/main/kotlin/io/bluebellramp/placement/SpreadingPool.kt
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/SpreadingPool.kt
@@ -16,15 +16,13 @@
     private val model: RunTimeModel = RunTimeModel(),
     private val health: TargetHealth = TargetHealth(),
 ) : CreditPool {
-    private class Holding(
-        val zone: ZoneId,
-        var credits: Int = 0,
-        var running: Int = 0,
-        var lastSpent: Duration = -Duration.INFINITE,
-        var goodTrials: Int = 0,
-    )
+    /** When a credit of a target was last spent, and the good trials since it became a straggler. */
+    private class Trials {
+        var lastSpent = -Duration.INFINITE
+        var good = 0
+    }
 
-    private val targets = LinkedHashMap<TargetId, Holding>()
+    private val holdings = CreditHoldings { Trials() }
 
     override fun grant(
         target: TargetId,
@@ -32,19 +30,17 @@
         credits: Int,
     ) {
         health.joined(target)
-        targets.getOrPut(target) { Holding(zone) }.credits += credits
+        holdings.grant(target, zone, credits)
     }
 
     override fun spend(now: Duration): CreditedTarget? {
-        val usable = targets.filter { (target, holding) -> isUsable(target, holding, now) }
+        val usable = holdings.all.filter { isUsable(it, now) }
         val zones = zoneLoads()
-        val (target, holding) =
-            usable.entries.minWithOrNull(compareBy({ load(it.key, it.value) }, { zones[it.value.zone] ?: 0 })) ?: return null
-        holding.credits--
-        holding.running++
-        holding.lastSpent = now
-        health.used(target)
-        return holding.view(target)
+        val holding = usable.minWithOrNull(compareBy({ load(it) }, { zones[it.zone] ?: 0 })) ?: return null
+        holding.spend()
+        holding.state.lastSpent = now
+        health.used(holding.target)
+        return holding.view()
     }
 
     override fun ended(
@@ -53,79 +49,64 @@
         failed: Boolean,
         now: Duration,
     ) {
-        release(target)
+        holdings[target]?.release()
         if (!failed) learn(target, ran)
         health.ended(target, failed, now)
     }
 
     override fun notRun(target: TargetId) {
-        release(target)
+        holdings[target]?.release()
         health.unused(target)
     }
 
     override fun withdraw(
         target: TargetId,
         credits: Int,
-    ): Int {
-        val holding = targets[target] ?: return 0
-        val taken = minOf(credits, holding.credits)
-        holding.credits -= taken
-        return taken
-    }
+    ): Int = holdings.withdraw(target, credits)
 
     override fun drop(target: TargetId) {
-        targets.remove(target)
+        holdings.drop(target)
         health.left(target)
     }
 
-    override fun unspent(): List<CreditedTarget> = targets.filterValues { it.credits > 0 }.map { (target, holding) -> holding.view(target) }
+    override fun unspent(): List<CreditedTarget> = holdings.unspent()
 
     private fun isUsable(
-        target: TargetId,
-        holding: Holding,
+        holding: CreditHolding<Trials>,
         now: Duration,
-    ): Boolean = holding.credits > 0 && health.mayUse(target, now) && (!isStraggler(target) || isTrialDue(holding, now))
+    ): Boolean = holding.credits > 0 && health.mayUse(holding.target, now) && (!isStraggler(holding.target) || isTrialDue(holding, now))
 
     /** Slowness is relative to the mean of the service, so at most half of the targets can be stragglers. */
     private fun isStraggler(target: TargetId): Boolean = model.slowness(target) >= STRAGGLER_SLOWNESS
 
     private fun isTrialDue(
-        holding: Holding,
+        holding: CreditHolding<Trials>,
         now: Duration,
-    ): Boolean = holding.running == 0 && now - holding.lastSpent >= STRAGGLER_TRIAL_PERIOD
+    ): Boolean = holding.running == 0 && now - holding.state.lastSpent >= STRAGGLER_TRIAL_PERIOD
 
     private fun learn(
         target: TargetId,
         ran: Duration,
     ) {
-        val holding = targets[target]
-        if (holding != null && isStraggler(target)) countTrial(target, holding, isGood = ran < model.mean * STRAGGLER_SLOWNESS)
+        val trials = holdings[target]?.state
+        if (trials != null && isStraggler(target)) countTrial(target, trials, isGood = ran < model.mean * STRAGGLER_SLOWNESS)
         model.observe(target, ran)
     }
 
     private fun countTrial(
         target: TargetId,
-        holding: Holding,
+        trials: Trials,
         isGood: Boolean,
     ) {
-        holding.goodTrials = if (isGood) holding.goodTrials + 1 else 0
-        if (holding.goodTrials < TRIALS_TO_RECOVER) return
-        holding.goodTrials = 0
+        trials.good = if (isGood) trials.good + 1 else 0
+        if (trials.good < TRIALS_TO_RECOVER) return
+        trials.good = 0
         model.forget(target)
     }
 
-    private fun load(
-        target: TargetId,
-        holding: Holding,
-    ): Double = (holding.running + 1) * maxOf(1.0, model.slowness(target))
-
-    private fun zoneLoads(): Map<ZoneId, Int> = targets.values.groupingBy { it.zone }.fold(0) { sum, holding -> sum + holding.running }
-
-    private fun release(target: TargetId) {
-        targets[target]?.let { it.running = maxOf(0, it.running - 1) }
-    }
+    private fun load(holding: CreditHolding<Trials>): Double = (holding.running + 1) * maxOf(1.0, model.slowness(holding.target))
 
-    private fun Holding.view(target: TargetId) = CreditedTarget(target = target, zone = zone, credits = credits, running = running)
+    private fun zoneLoads(): Map<ZoneId, Int> = holdings.all.groupingBy { it.zone }.fold(0) { sum, holding -> sum + holding.running }
 
     private companion object {
         const val STRAGGLER_SLOWNESS = 2.0
