--- /dev/null
+++ b/scripts/measure-idle.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# Measures the processor time of idle agents, by thread. Usage: scripts/measure-idle.sh [RECORDING]
+# With RECORDING agent 1 records its samples there by Java Flight Recorder and does not count.
+# Inputs: the CLUSTER_ variables of cluster.sh, WARM_UP and LENGTH (s).
+RECORDING=${1:-}
+export CLUSTER_ENTRIES=${CLUSTER_ENTRIES:-3}
+export CLUSTER_FOLDER=${CLUSTER_FOLDER:-$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)/run/measure-idle}
+# shellcheck source=scripts/cluster.sh
+source "$(dirname "${BASH_SOURCE[0]}")/cluster.sh"
+trap cluster_stop EXIT
+WARM_UP=${WARM_UP:-12} LENGTH=${LENGTH:-25}
+
+# thread_ticks: a line of agent, thread and processor time (1/100 s) for each thread of each agent.
+thread_ticks() {
+  local n pid file
+  for ((n = 1; n <= CLUSTER_AGENTS; n++)); do
+    [ -z "$RECORDING" ] || [ "$n" != 1 ] || continue
+    pid=${CLUSTER_PIDS[agent-$n]}
+    for file in /proc/"$pid"/task/*/stat; do
+      sed "s/^\([0-9]*\) (\(.*\)) \(.*\)/\3 $n-\1 \2/" "$file" 2>/dev/null
+    done
+  done | awk '{ thread = $52; for (i = 53; i <= NF; i++) thread = thread "_" $i; gsub(/[0-9@-]+/, "", thread); print $51, thread, $12 + $13 }'
+}
+
+cluster_prepare
+cluster_start
+cluster_configure >/dev/null
+wait_for 60 agents_ready "$CLUSTER_AGENTS"
+sleep "$WARM_UP"
+[ -z "$RECORDING" ] || jcmd "${CLUSTER_PIDS[agent-1]}" JFR.start settings=profile >/dev/null
+before=$(thread_ticks)
+sleep "$LENGTH"
+after=$(thread_ticks)
+[ -z "$RECORDING" ] || jcmd "${CLUSTER_PIDS[agent-1]}" JFR.dump filename="$RECORDING" >/dev/null
+echo "load average $(cut -d' ' -f1-3 /proc/loadavg)"
+agents=$((CLUSTER_AGENTS - (${#RECORDING} > 0)))
+{ sed 's/^/before /' <<<"$before"; sed 's/^/after /' <<<"$after"; } | awk -v agents="$agents" -v seconds="$LENGTH" '
+  $1 == "before" { old[$2] = $4; next }
+  { spent = $4 - old[$2]; all += spent; by[$3] += spent }
+  END {
+    printf "one agent: %.2f%% of a core\n", all / agents / seconds
+    for (thread in by) if (by[thread] > 0) printf "%.3f%% %s\n", by[thread] / agents / seconds, thread
+  }' | sort -t' ' -k1 -rn
--- a/scripts/measure-zone.sh
+++ b/scripts/measure-zone.sh
@@ -9,7 +9,7 @@
 #   failing, slow   the last target fails everything, or is 5 times slower
 #   bursts          10 jobs at once every 10 s
 #   cancels         half of the open jobs are cancelled at a third and at two thirds
-# Inputs: the CLUSTER_ variables of cluster.sh, LOAD (of all slots), LENGTH (s), SEED, OUT_AT, IN_AT, OUT (report, JSON).
+# Inputs: the CLUSTER_ variables of cluster.sh, LOAD (of all slots), LENGTH (s), SEED, OUT_AT, IN_AT, WARM_UP (s), OUT (report, JSON).
 FAULT=${1:-zone}
 export CLUSTER_ENTRIES=${CLUSTER_ENTRIES:-3} CLUSTER_SITE=${CLUSTER_SITE:-ogun}
 export CLUSTER_FOLDER=${CLUSTER_FOLDER:-$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)/run/measure-zone}
@@ -27,7 +27,7 @@
   launch_program "$@"
 }
 
-LENGTH=${LENGTH:-35} OUT_AT=${OUT_AT:-10} IN_AT=${IN_AT:-22} SEED=${SEED:-1}
+WARM_UP=${WARM_UP:-5} LENGTH=${LENGTH:-35} OUT_AT=${OUT_AT:-10} IN_AT=${IN_AT:-22} SEED=${SEED:-1}
 SLOTS_OF_TARGET=8
 SLOTS=$((CLUSTER_AGENTS * SLOTS_OF_TARGET))
 LOAD=${LOAD:-0.76} # 120% of the 56 slots that are left of 88 when a zone of 4 targets is out
@@ -99,6 +99,7 @@
 esac
 entries=()
 for ((n = 1; n <= CLUSTER_ENTRIES; n++)); do entries+=(--entry "http://$(entry_address "$n")"); done
+"$CLUSTER_ROOT/bin/bluebellramp-bench" load "${entries[@]}" --service "$SERVICE" --load 0.5 --slots "$SLOTS" --seconds "$WARM_UP" --seed 99 >/dev/null || true
 echo "$FAULT at $CLUSTER_SITE: load average $(cut -d' ' -f1-3 /proc/loadavg)"
 # shellcheck disable=SC2046
 "$CLUSTER_ROOT/bin/bluebellramp-bench" load "${entries[@]}" --service "$SERVICE" --load "$LOAD" --slots "$SLOTS" \
