bench agents: many stand-in agents in one process

Ruled out: a second implementation of credits and frames in the bench, which would have to follow every change of the agent.

--- a/bench/src/main/kotlin/io/bluebellramp/bench/Main.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/Main.kt
@@ -1,5 +1,6 @@
 package io.bluebellramp.bench
 
+import io.bluebellramp.bench.standin.AgentsCommand
 import io.bluebellramp.bench.trial.TrialCommand
 import io.bluebellramp.runtime.VERSION
 import io.bluebellramp.runtime.configureLogging
@@ -17,7 +18,7 @@
         println("$PROGRAM $VERSION")
         return
     }
-    val commands = listOf(LoadCommand(), StartsCommand(), TrialCommand())
+    val commands = listOf(LoadCommand(), StartsCommand(), AgentsCommand(), TrialCommand())
     val parser = ArgParser(PROGRAM)
     parser.subcommands(*commands.toTypedArray())
     parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
