--- a/bench/src/main/kotlin/io/bluebellramp/bench/Main.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/Main.kt
@@ -1,9 +1,10 @@
 package io.bluebellramp.bench
 
+import io.bluebellramp.bench.standin.AgentsCommand
 import io.bluebellramp.bench.trial.TrialCommand
 import io.bluebellramp.runtime.VERSION
+import io.bluebellramp.runtime.argumentParser
 import io.bluebellramp.runtime.configureLogging
-import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
 import kotlin.system.exitProcess
 
@@ -17,8 +18,8 @@
         println("$PROGRAM $VERSION")
         return
     }
-    val commands = listOf(LoadCommand(), StartsCommand(), TrialCommand(), FaultyTargetCommand())
-    val parser = ArgParser(PROGRAM)
+    val commands = listOf(LoadCommand(), StartsCommand(), AgentsCommand(), TrialCommand(), FaultyTargetCommand())
+    val parser = argumentParser(PROGRAM)
     parser.subcommands(*commands.toTypedArray())
     parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
     exitProcess(commands.first { it.name == args.first() }.exitCode)
