--- a/control/src/main/kotlin/io/bluebellramp/control/ControlChecks.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ControlChecks.kt
@@ -11,6 +11,9 @@
             add(Violation(path = "$.members", message = "must list the member ${settings.member}, or set joining"))
         }
         if (ids.toSet().size != ids.size) add(Violation(path = "$.members", message = "lists a member twice"))
+        if (settings.bindOutgoing && settings.listen.host in WILDCARDS) {
+            add(Violation(path = "$.bindOutgoing", message = "needs one IP number to send from, but the process listens on all"))
+        }
         if (settings.heartbeatMillis * HEARTBEATS_PER_ELECTION > settings.electionMillis) {
             add(Violation(path = "$.heartbeatMillis", message = "must be at most a third of electionMillis"))
         }
@@ -24,5 +27,6 @@
         }
     }
 
+private val WILDCARDS = setOf("0.0.0.0", "[::]", "::")
 private const val HEARTBEATS_PER_ELECTION = 3
 private const val ELECTIONS_PER_PERMIT = 3
--- a/control/src/main/kotlin/io/bluebellramp/control/ControlProgram.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ControlProgram.kt
@@ -5,7 +5,6 @@
 import io.bluebellramp.runtime.Decision
 import io.bluebellramp.runtime.RunningProgram
 import io.bluebellramp.runtime.SharedKey
-import io.bluebellramp.runtime.httpLink
 import io.bluebellramp.runtime.httpServer
 import io.bluebellramp.runtime.logDecision
 import io.ktor.client.HttpClient
@@ -38,7 +37,7 @@
     private val closeLog: () -> Unit,
 ) : RunningProgram {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val client: HttpClient = httpLink(key, timeout = CALL_TIMEOUT)
+    private val client: HttpClient = settings.memberLink(key, timeout = CALL_TIMEOUT)
     private val server =
         httpServer(settings.listen, control, registry, key) {
             operatorRoutes(control, LeaderForwarder(control.log, client))
--- a/control/src/main/kotlin/io/bluebellramp/control/Main.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/Main.kt
@@ -12,7 +12,6 @@
 import io.bluebellramp.runtime.RunningProgram
 import io.bluebellramp.runtime.SettingsReader
 import io.bluebellramp.runtime.SharedKey
-import io.bluebellramp.runtime.httpLink
 import io.bluebellramp.runtime.runServer
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
@@ -58,9 +57,9 @@
     registry: PrometheusRegistry,
 ): LogMember {
     val election = settings.electionMillis.milliseconds
-    val client = httpLink(key, connectTimeout = election, timeout = election)
+    val client = settings.memberLink(key, connectTimeout = election, timeout = election)
     return LogMember(
-        self = MemberAddress(settings.member, settings.listen),
+        self = MemberAddress(settings.member, settings.address),
         founding = settings.members,
         joining = settings.joining,
         folder = Path.of(settings.dataFolder),
--- a/messages/src/main/kotlin/io/bluebellramp/messages/ControlSettings.kt
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/ControlSettings.kt
@@ -15,6 +15,9 @@
     val dataFolder: String,
     /** The first members of the cluster. Ignored once the data folder holds a membership. */
     val members: List<MemberAddress>,
+    val advertised: Address? = null,
+    /** True to send to other members from the IP number that the process listens on. */
+    val bindOutgoing: Boolean = false,
     /** True for a member that starts empty and waits to be added. */
     val joining: Boolean = false,
     /** How long a permit is good for (ms). */
--- /dev/null
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/RelayRoute.kt
@@ -0,0 +1,11 @@
+package io.bluebellramp.messages
+
+import io.bluebellramp.core.Address
+import kotlinx.serialization.Serializable
+
+/** One address at which the relay stands in for a process. */
+@Serializable
+data class RelayRoute(
+    val listen: Address,
+    val upstream: Address,
+)
--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/HttpLink.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/HttpLink.kt
@@ -2,6 +2,7 @@
 
 import io.bluebellramp.core.WireJson
 import io.ktor.client.HttpClient
+import io.ktor.client.HttpClientConfig
 import io.ktor.client.engine.java.Java
 import io.ktor.client.plugins.HttpTimeout
 import io.ktor.client.plugins.contentnegotiation.ContentNegotiation
@@ -28,13 +29,22 @@
     timeout: Duration? = null,
 ): HttpClient =
     HttpClient(Java) {
-        expectSuccess = false
         engine { protocolVersion = Version.HTTP_1_1 }
-        install(ContentNegotiation) { json(WireJson) }
-        install(WebSockets)
-        install(HttpTimeout) {
-            connectTimeoutMillis = connectTimeout.inWholeMilliseconds
-            requestTimeoutMillis = timeout?.inWholeMilliseconds
-        }
-        if (key != null) defaultRequest { header(HttpHeaders.Authorization, key.header) }
+        configureLink(key, connectTimeout, timeout)
     }
+
+/** Sets what every link has, whatever its engine: JSON bodies, WebSockets, time limits and the key. See [httpLink]. */
+fun HttpClientConfig<*>.configureLink(
+    key: SharedKey?,
+    connectTimeout: Duration,
+    timeout: Duration?,
+) {
+    expectSuccess = false
+    install(ContentNegotiation) { json(WireJson) }
+    install(WebSockets)
+    install(HttpTimeout) {
+        connectTimeoutMillis = connectTimeout.inWholeMilliseconds
+        requestTimeoutMillis = timeout?.inWholeMilliseconds
+    }
+    if (key != null) defaultRequest { header(HttpHeaders.Authorization, key.header) }
+}
