One bounded call for leases and peers

Cause: LeaseClient and PeerClient had the same handling of time limits and failures. Change: boundedCall. No other behaviour.

--- a/entry/src/main/kotlin/io/bluebellramp/entry/LeaseClient.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/LeaseClient.kt
@@ -11,12 +11,10 @@
 import io.ktor.http.ContentType
 import io.ktor.http.HttpStatusCode
 import io.ktor.http.contentType
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.selects.select
-import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -89,19 +87,13 @@
         control: Address,
         request: LeaseRequest,
     ): LeaseResponse? =
-        try {
-            withTimeoutOrNull(CALL_TIMEOUT + request.waitMillis.milliseconds) {
-                val response =
-                    http.post("http://$control/leases") {
-                        contentType(ContentType.Application.Json)
-                        setBody(request)
-                    }
-                if (response.status == HttpStatusCode.OK) response.body<LeaseResponse>() else null
-            }
-        } catch (e: CancellationException) {
-            throw e
-        } catch (_: Exception) {
-            null
+        boundedCall(CALL_TIMEOUT + request.waitMillis.milliseconds) {
+            val response =
+                http.post("http://$control/leases") {
+                    contentType(ContentType.Application.Json)
+                    setBody(request)
+                }
+            if (response.status == HttpStatusCode.OK) response.body<LeaseResponse>() else null
         }
 
     private companion object {
--- a/entry/src/main/kotlin/io/bluebellramp/entry/PeerClient.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/PeerClient.kt
@@ -7,11 +7,9 @@
 import io.ktor.client.request.get
 import io.ktor.client.request.post
 import io.ktor.http.HttpStatusCode
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Asks other entries for the answers to submissions that they own. */
@@ -30,7 +28,7 @@
     }
 
     private suspend fun ask(follow: Action.Follow): FollowResult =
-        attempt {
+        boundedCall(CALL_TIMEOUT) {
             val response =
                 http.get(follow.owner.path(follow.submission.value) + "?incarnation=${follow.owner.incarnation}&wait=$WAIT_MILLIS")
             when (response.status) {
@@ -42,20 +40,11 @@
 
     /** Passes a cancel on to the owner. */
     fun cancel(cancel: Action.CancelAtOwner) {
-        scope.launch { attempt { http.post(cancel.owner.path(cancel.submission.value) + "/cancel") } }
+        scope.launch { boundedCall(CALL_TIMEOUT) { http.post(cancel.owner.path(cancel.submission.value) + "/cancel") } }
     }
 
     private fun ClaimHolder.path(submission: String) = "http://$address/peers/submissions/$submission"
 
-    private suspend fun <T> attempt(call: suspend () -> T): T? =
-        try {
-            withTimeoutOrNull(CALL_TIMEOUT) { call() }
-        } catch (e: CancellationException) {
-            throw e
-        } catch (_: Exception) {
-            null
-        }
-
     private companion object {
         const val WAIT_MILLIS = 1_000L
         val CALL_TIMEOUT = 1_500.milliseconds
