An answer that is there is given without a wait

Cause: GET /v1/jobs/ID?wait=0 answered 202 for a submission whose answer was kept, since a wait of no time ends before it looks. Seen by hand with the commands of the guide. Change: a reply that is complete is returned before any wait, to callers and to other entries. Test: EntryProgramTest asks for the kept answer with wait=0.

--- a/entry/src/main/kotlin/io/bluebellramp/entry/CallerApi.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/CallerApi.kt
@@ -20,6 +20,7 @@
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -120,7 +121,7 @@
         reply: Deferred<Reply>,
     ): Reply? {
         val wait = waitMillis()
-        val whole = if (wait == null) reply.await() else withTimeoutOrNull(wait.milliseconds) { reply.await() }
+        val whole = if (wait == null) reply.await() else reply.awaitUpTo(wait.milliseconds)
         if (whole == null) {
             respondJson(HttpStatusCode.Accepted, WireJson.encodeToString(PendingBody.serializer(), PendingBody(id)))
         } else {
@@ -156,6 +157,9 @@
 /** The value of `wait` (ms), or null if the call waits for the answer. */
 internal fun ApplicationCall.waitMillis(): Long? = request.queryParameters["wait"]?.toLongOrNull()?.coerceAtLeast(0)
 
+/** Returns the value, or null if it does not come within [time]. A value that is there is returned even if [time] is zero. */
+internal suspend fun <T : Any> Deferred<T>.awaitUpTo(time: Duration): T? = if (isCompleted) await() else withTimeoutOrNull(time) { await() }
+
 internal suspend fun ApplicationCall.respondJson(
     status: HttpStatusCode,
     text: String,
--- a/entry/src/main/kotlin/io/bluebellramp/entry/PeerApi.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/PeerApi.kt
@@ -9,7 +9,6 @@
 import io.ktor.server.routing.Route
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
-import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -34,7 +33,7 @@
         if (found == Lookup.Unknown || found == Lookup.Pending(isFollowing = true)) return respond(HttpStatusCode.NotFound)
         if (found is Lookup.Lost) return respondJson(HttpStatusCode.OK, WireJson.encodeToString(Answer.serializer(), found.answer))
         val reply = shell.find(id) ?: return respond(HttpStatusCode.NotFound)
-        when (val whole = withTimeoutOrNull((waitMillis() ?: 0).milliseconds) { reply.await() }) {
+        when (val whole = reply.awaitUpTo((waitMillis() ?: 0).milliseconds)) {
             null -> respond(HttpStatusCode.Accepted)
             is Reply.Whole -> respondJson(HttpStatusCode.OK, WireJson.encodeToString(Answer.serializer(), whole.answer))
             is Reply.Refused -> respond(HttpStatusCode.NotFound)
--- a/entry/src/test/kotlin/io/bluebellramp/entry/EntryProgramTest.kt
+++ b/entry/src/test/kotlin/io/bluebellramp/entry/EntryProgramTest.kt
@@ -187,6 +187,8 @@
                 assertEquals(HttpStatusCode.Accepted, http.get("http://$address/v1/jobs/${job.submission}?wait=1").status)
                 go.complete(Unit)
                 assertEquals(AnswerOutcome.COMPLETE, http.get("http://$address/v1/jobs/${job.submission}").answer().outcome)
+                val again = http.get("http://$address/v1/jobs/${job.submission}?wait=0")
+                assertEquals(HttpStatusCode.OK, again.status, "an answer that is there needs no wait")
             }
 
         @Test
