The command line reads not_run with 429 and 503

Cause: a final answer not_run comes with 429 or 503, and the command line read only errors with such a status: it said 'a body that cannot be read' in place of not run. Seen by hand with the commands of the guide (a job over its team's quota). Change: a body that is no error is read as a value whatever the status. Test: EntryClientTest, an entry that refuses early.

--- a/cli/src/main/kotlin/io/bluebellramp/cli/CallResult.kt
+++ b/cli/src/main/kotlin/io/bluebellramp/cli/CallResult.kt
@@ -41,16 +41,25 @@
         is CallResult.Failure -> output.failure(this)
     }
 
-/** Decodes the body as [serializer] says on success, and as [ErrorBody] otherwise. */
+/**
+ * Decodes the body as [serializer] says on success, and as [ErrorBody] otherwise.
+ *
+ * A body that is no [ErrorBody] may be a value with any status: an entry says `not_run` with 429 and 503.
+ */
 internal suspend fun <T> HttpResponse.decode(serializer: KSerializer<T>): CallResult<T> {
     val text = bodyAsText()
-    return try {
-        if (status.isSuccess()) {
-            CallResult.Answered(WireJson.decodeFromString(serializer, text))
-        } else {
-            CallResult.Refused(WireJson.decodeFromString(ErrorBody.serializer(), text))
-        }
+    val error = if (status.isSuccess()) null else read(ErrorBody.serializer(), text)
+    if (error != null) return CallResult.Refused(error)
+    return read(serializer, text)?.let { CallResult.Answered(it) }
+        ?: CallResult.Refused(ErrorBody(code = ErrorCode.INTERNAL, message = "status ${status.value} with a body that cannot be read"))
+}
+
+private fun <T> read(
+    serializer: KSerializer<T>,
+    text: String,
+): T? =
+    try {
+        WireJson.decodeFromString(serializer, text)
     } catch (_: SerializationException) {
-        CallResult.Refused(ErrorBody(code = ErrorCode.INTERNAL, message = "status ${status.value} with a body that cannot be read"))
+        null
     }
-}
--- a/cli/src/test/kotlin/io/bluebellramp/cli/EntryClientTest.kt
+++ b/cli/src/test/kotlin/io/bluebellramp/cli/EntryClientTest.kt
@@ -41,6 +41,18 @@
         }
     }
 
+    @Nested
+    inner class `An entry that refuses early` {
+        @Test
+        fun `says not run, whatever the status`() {
+            val entry = FakeEntry(answer = """{"submission":"$id","outcome":"not_run"}""", status = 429)
+            listOf(entry).use {
+                val result = runBlocking { httpLink().use { EntryClient(it, listOf(entry.address)).submit(job) } }
+                assertEquals(AnswerOutcome.NOT_RUN, assertIs<CallResult.Answered<Answer>>(result).value.outcome)
+            }
+        }
+    }
+
     @Nested
     inner class `A cancel` {
         private val unknown = """{"code":"not_found","message":"This entry does not know $id."}"""
