The relay's test waits for the cut and not for a time

Cause: it slept 200 ms until the relay had read its file and then allowed 1 s for each byte, which a busy machine may exceed. Change: Partition tells what is cut off; the test waits for that. A byte that must come has 30 s; silence is judged over 500 ms after the cut is known to be in force, so the check is as strict.

--- a/samples/src/main/kotlin/io/bluebellramp/samples/Partition.kt
+++ b/samples/src/main/kotlin/io/bluebellramp/samples/Partition.kt
@@ -19,6 +19,9 @@
     private val changed = lock.newCondition()
     private var hosts = emptySet<String>()
 
+    /** The IP numbers that are cut off as of the last reading of the file. */
+    val cutOff: Set<String> get() = lock.withLock { hosts }
+
     /** Follows the file until the program ends. */
     fun follow() {
         thread(isDaemon = true, name = "partition") {
--- a/samples/src/test/kotlin/io/bluebellramp/samples/RelayTest.kt
+++ b/samples/src/test/kotlin/io/bluebellramp/samples/RelayTest.kt
@@ -25,6 +25,8 @@
     private val cutFile get() = folder.resolve("cut")
     private val relayPort = ServerSocket(0).use { it.localPort }
 
+    private val partition by lazy { Partition(cutFile) }
+
     private fun withRelay(test: () -> Unit) {
         thread(isDaemon = true) {
             runCatching {
@@ -34,7 +36,6 @@
                 }
             }
         }
-        val partition = Partition(cutFile)
         val route = RelayRoute(listen = Address("127.0.0.1:$relayPort"), upstream = Address("127.0.0.1:${echo.localPort}"))
         val relay = Relay(listOf(route), partition)
         relay.start()
@@ -50,17 +51,23 @@
         Socket().apply {
             bind(InetSocketAddress(host, 0))
             connect(InetSocketAddress("127.0.0.1", relayPort))
-            soTimeout = SILENCE_MILLIS
+            soTimeout = LONGEST_WAIT_MILLIS
         }
 
     private fun Socket.send(byte: Int) = getOutputStream().write(byte)
 
     private fun Socket.receive() = getInputStream().read()
 
+    private fun Socket.assertSilent() {
+        soTimeout = SILENCE_MILLIS
+        assertFailsWith<SocketTimeoutException> { receive() }
+        soTimeout = LONGEST_WAIT_MILLIS
+    }
+
     private fun cut(vararg hosts: String) {
         val draft = Files.write(folder.resolve("draft"), hosts.toList())
         Files.move(draft, cutFile, StandardCopyOption.ATOMIC_MOVE)
-        Thread.sleep(200)
+        while (partition.cutOff != hosts.toSet()) Thread.yield()
     }
 
     @Nested
@@ -75,8 +82,8 @@
                 cut("127.0.0.11")
                 cutOff.send(2)
                 val late = connectFrom("127.0.0.11").also { it.send(3) }
-                assertFailsWith<SocketTimeoutException> { cutOff.receive() }
-                assertFailsWith<SocketTimeoutException> { late.receive() }
+                cutOff.assertSilent()
+                late.assertSilent()
                 other.send(4)
                 assertEquals(4, other.receive())
                 cut()
@@ -86,7 +93,10 @@
     }
 
     private companion object {
-        /** Longest wait for a byte (ms). */
-        const val SILENCE_MILLIS = 1000
+        /** Longest wait for a byte that must come (ms). */
+        const val LONGEST_WAIT_MILLIS = 30_000
+
+        /** How long a cut connection must stay silent (ms). */
+        const val SILENCE_MILLIS = 500
     }
 }
