Time stands still before the handler under test sets its first timer

Cause: RequestTimeLimitTest failed once in a run of all tests on a busy machine ("is closed when it is idle for long", the connection was closed 1 ms early). The embedded channel ran its handlers, which set the idle timer, before its time was frozen, so that real time passed in between. Ruled out: the handler itself; its timer and its checks use one clock. Change: the channel freezes its time first and gets its handlers then.

--- a/runtime/src/test/kotlin/io/bluebellramp/runtime/RequestTimeLimitTest.kt
+++ b/runtime/src/test/kotlin/io/bluebellramp/runtime/RequestTimeLimitTest.kt
@@ -26,7 +26,12 @@
     private val limits = ConnectionLimits(request = 15.seconds, idle = 5.minutes)
     private val channel = channel()
 
-    private fun channel() = EmbeddedChannel(HttpServerCodec(), RequestTimeLimit(limits)).apply { freezeTime() }
+    /** The time stands still before the handler sets its first timer. */
+    private fun channel() =
+        EmbeddedChannel().apply {
+            freezeTime()
+            pipeline().addLast(HttpServerCodec(), RequestTimeLimit(limits))
+        }
 
     private fun receive(
         vararg texts: String,
