--- a/scripts/measure-idle.sh
+++ b/scripts/measure-idle.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Measures the processor time of idle agents, by thread. Usage: scripts/measure-idle.sh [RECORDING]
 # With RECORDING agent 1 records its samples there by Java Flight Recorder and does not count.
-# Inputs: the CLUSTER_ variables of cluster.sh, WARM_UP and LENGTH (s).
+# Inputs: the CLUSTER_ variables of cluster.sh, WARM_UP and LENGTH (s), OTHER_LIB: libraries of the agents with even numbers, to compare.
 RECORDING=${1:-}
 export CLUSTER_ENTRIES=${CLUSTER_ENTRIES:-3}
 export CLUSTER_FOLDER=${CLUSTER_FOLDER:-$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)/run/measure-idle}
@@ -10,6 +10,15 @@
 trap cluster_stop EXIT
 WARM_UP=${WARM_UP:-12} LENGTH=${LENGTH:-25}
 
+eval "$(declare -f start_agent | sed '1s/start_agent/start_any_agent/')"
+start_agent() {
+  if [ -n "${OTHER_LIB:-}" ] && [ $(($1 % 2)) = 0 ]; then
+    BLUEBELLRAMP_LIB=$OTHER_LIB start_any_agent "$1"
+  else
+    start_any_agent "$1"
+  fi
+}
+
 # thread_ticks: a line of agent, thread and processor time (1/100 s) for each thread of each agent.
 thread_ticks() {
   local n pid file
@@ -36,8 +45,9 @@
 agents=$((CLUSTER_AGENTS - (${#RECORDING} > 0)))
 { sed 's/^/before /' <<<"$before"; sed 's/^/after /' <<<"$after"; } | awk -v agents="$agents" -v seconds="$LENGTH" '
   $1 == "before" { old[$2] = $4; next }
-  { spent = $4 - old[$2]; all += spent; by[$3] += spent }
+  { spent = $4 - old[$2]; all += spent; by[$3] += spent; agent[int($2)] += spent }
   END {
+    for (n in agent) printf "agent %d: %.2f%%\n", n, agent[n] / seconds
     printf "one agent: %.2f%% of a core\n", all / agents / seconds
     for (thread in by) if (by[thread] > 0) printf "%.3f%% %s\n", by[thread] / agents / seconds, thread
   }' | sort -t' ' -k1 -rn
