Cancel and ask through any entry; the count of tasks done

Cause: an entry that has not seen an id answered cancel with 404 and never asked the others: the peer cancel was sent only for submissions that it follows. PendingBody had no counts, since the core did not tell them. Change: such an entry cancels at every live entry and gives the owner's answer; not_found only if each of them says so, else owner_unreachable. 202 has tasks and tasksDone of the owner, absent while nobody owns the id. Tests: EntryProgramTest, a caller who asks an entry that has not seen the submission.

--- a/entry/src/main/kotlin/io/bluebellramp/entry/CallerApi.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/CallerApi.kt
@@ -22,6 +22,8 @@
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 /**
  * The callers' API.
@@ -35,7 +37,7 @@
  * | 200 | `Answer` | `complete`, `failed`, or `not_run` after a cancel or a deadline |
  * | 202 | [PendingBody] | `wait` ran out |
  * | 400 | `ErrorBody` | the body is cut short, is not JSON or violates the schema; the id has a wrong form or a time in the future |
- * | 404 | `ErrorBody` | unknown service, or an id that this entry does not know |
+ * | 404 | `ErrorBody` | unknown service, or an id that no live entry knows |
  * | 408 | `ErrorBody` | headers and body were not whole in time; the server says so before a route is asked |
  * | 409 | `ErrorBody` | the id belongs to another body |
  * | 410 | `ErrorBody` | the id is too old |
@@ -47,6 +49,7 @@
  */
 internal class CallerApi(
     private val shell: EntryShell,
+    private val peers: PeerClient,
     private val reader: SubmissionReader,
     private val metrics: CallMetrics,
     private val bodyBytes: Long,
@@ -105,15 +108,51 @@
 
     private suspend fun ApplicationCall.find() {
         val id = id() ?: return refuse(ErrorBody(ErrorCode.INVALID_SUBMISSION, "The id is no UUID version 7 in lower case."))
-        val reply = shell.find(id) ?: return refuse(ErrorBody(ErrorCode.NOT_FOUND, "This entry does not know $id."))
+        val reply = shell.find(id) ?: return findElsewhere(id)
         await(id, reply)
     }
 
     private suspend fun ApplicationCall.cancel() {
         val id = id() ?: return refuse(ErrorBody(ErrorCode.INVALID_SUBMISSION, "The id is no UUID version 7 in lower case."))
-        val reply = shell.find(id) ?: return refuse(ErrorBody(ErrorCode.NOT_FOUND, "This entry does not know $id."))
-        shell.use { now -> cancel(id, now) }
-        await(id, reply)
+        val reply = shell.find(id)
+        if (reply != null) {
+            shell.use { now -> cancel(id, now) }
+            await(id, reply)
+            return
+        }
+        val found = peers.cancelEverywhere(id)
+        if (found == PeerSearch.Found) findElsewhere(id, isKnown = true) else respondMissing(id, found)
+    }
+
+    /**
+     * Answers for an id that this entry has not seen with what the entry that owns it says.
+     *
+     * @param isKnown true if an entry knows the id, even if that is not its owner
+     */
+    private suspend fun ApplicationCall.findElsewhere(
+        id: SubmissionId,
+        isKnown: Boolean = false,
+    ) {
+        val wait = waitMillis()?.milliseconds
+        val start = TimeSource.Monotonic.markNow()
+        while (true) {
+            val left = wait?.let { (it - start.elapsedNow()).coerceAtLeast(Duration.ZERO) }
+            val found = peers.findEverywhere(id, minOf(left ?: PEER_WAIT, PEER_WAIT))
+            when {
+                found is PeerSearch.Answered -> return answer(Reply.Whole(found.answer))
+                found !is PeerSearch.Pending -> return respondMissing(id, if (isKnown) PeerSearch.Unclear else found)
+                left == Duration.ZERO -> return respondPending(found.body)
+            }
+        }
+    }
+
+    private suspend fun ApplicationCall.respondMissing(
+        id: SubmissionId,
+        found: PeerSearch,
+    ) = if (found == PeerSearch.Unknown) {
+        refuse(ErrorBody(ErrorCode.NOT_FOUND, "No live entry knows $id."))
+    } else {
+        refuse(ErrorBody(ErrorCode.OWNER_UNREACHABLE, "This entry does not know $id, and another entry did not answer."))
     }
 
     private suspend fun ApplicationCall.await(
@@ -122,14 +161,14 @@
     ): Reply? {
         val wait = waitMillis()
         val whole = if (wait == null) reply.await() else reply.awaitUpTo(wait.milliseconds)
-        if (whole == null) {
-            respondJson(HttpStatusCode.Accepted, WireJson.encodeToString(PendingBody.serializer(), PendingBody(id)))
-        } else {
-            answer(whole)
-        }
+        if (whole == null) respondPending(progress(id)) else answer(whole)
         return whole
     }
 
+    /** The count of the owner, which may be another entry. */
+    private suspend fun progress(id: SubmissionId): PendingBody =
+        shell.use { progress(id) } ?: (peers.findEverywhere(id, Duration.ZERO) as? PeerSearch.Pending)?.body ?: PendingBody(id)
+
     private suspend fun ApplicationCall.answer(reply: Reply) =
         when (reply) {
             is Reply.Whole -> respondJson(reply.answer.httpStatus(), WireJson.encodeToString(Answer.serializer(), reply.answer))
@@ -142,6 +181,11 @@
     }
 
     private fun ApplicationCall.id() = SubmissionId.parse(parameters["id"].orEmpty())
+
+    private companion object {
+        /** How long one question to the other entries waits for an answer. */
+        val PEER_WAIT = 1.seconds
+    }
 }
 
 private fun errorAt(
@@ -160,6 +204,9 @@
 /** Returns the value, or null if it does not come within [time]. A value that is there is returned even if [time] is zero. */
 internal suspend fun <T : Any> Deferred<T>.awaitUpTo(time: Duration): T? = if (isCompleted) await() else withTimeoutOrNull(time) { await() }
 
+internal suspend fun ApplicationCall.respondPending(body: PendingBody) =
+    respondJson(HttpStatusCode.Accepted, WireJson.encodeToString(PendingBody.serializer(), body))
+
 internal suspend fun ApplicationCall.respondJson(
     status: HttpStatusCode,
     text: String,
--- a/entry/src/main/kotlin/io/bluebellramp/entry/EntryCore.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/EntryCore.kt
@@ -6,6 +6,7 @@
 import io.bluebellramp.messages.ErrorBody
 import io.bluebellramp.messages.LeaseRequest
 import io.bluebellramp.messages.LeaseResponse
+import io.bluebellramp.messages.PendingBody
 import io.bluebellramp.messages.TargetState
 import kotlin.time.Duration
 
@@ -59,6 +60,9 @@
     /** Agents that are connected. */
     val connectedAgents get() = agents.connected.size
 
+    /** The other live entries. */
+    val otherEntries get() = lease.peers.filter { it.incarnation != identity.incarnation }
+
     /** Returns the actions since the last call. */
     fun take(): List<Action> = sink.take()
 
@@ -88,6 +92,12 @@
     /** Tells what is known of [id]. */
     fun lookup(id: SubmissionId): Lookup = table.lookup(id)
 
+    /** Tells how far [id] is if this entry owns it, or null. */
+    fun progress(id: SubmissionId): PendingBody? {
+        val submission = table[id]?.takeIf { it.phase == SubmissionPhase.OPEN || it.phase == SubmissionPhase.CLOSING } ?: return null
+        return PendingBody(submission = id, tasks = submission.size, tasksDone = submission.doneTasks)
+    }
+
     /** Gives up a claim on [id] unless this entry knows the id. */
     fun releaseUnknown(id: SubmissionId) = registry.releaseUnknown(id)
 
--- a/entry/src/main/kotlin/io/bluebellramp/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/EntryProgram.kt
@@ -54,6 +54,7 @@
     private val callers =
         CallerApi(
             shell = shell,
+            peers = peers,
             reader = SubmissionReader(clock),
             metrics = CallMetrics(clock, registry),
             bodyBytes = settings.bodyBytes,
--- a/entry/src/main/kotlin/io/bluebellramp/entry/PeerApi.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/PeerApi.kt
@@ -3,6 +3,7 @@
 import io.bluebellramp.core.SubmissionId
 import io.bluebellramp.core.WireJson
 import io.bluebellramp.messages.Answer
+import io.bluebellramp.messages.PendingBody
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.response.respond
@@ -14,7 +15,7 @@
 /**
  * What other entries ask about submissions that this entry owns.
  *
- * 200 carries the answer, 202 means not yet, 404 means that this incarnation does not own the id, 410 means that the incarnation is gone.
+ * 200 carries the answer, 202 a [PendingBody], 404 means that this incarnation does not own the id, 410 means that the incarnation is gone.
  */
 internal class PeerApi(
     private val shell: EntryShell,
@@ -34,7 +35,7 @@
         if (found is Lookup.Lost) return respondJson(HttpStatusCode.OK, WireJson.encodeToString(Answer.serializer(), found.answer))
         val reply = shell.find(id) ?: return respond(HttpStatusCode.NotFound)
         when (val whole = reply.awaitUpTo((waitMillis() ?: 0).milliseconds)) {
-            null -> respond(HttpStatusCode.Accepted)
+            null -> respondPending(shell.use { progress(id) } ?: PendingBody(id))
             is Reply.Whole -> respondJson(HttpStatusCode.OK, WireJson.encodeToString(Answer.serializer(), whole.answer))
             is Reply.Refused -> respond(HttpStatusCode.NotFound)
         }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/Submission.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/Submission.kt
@@ -78,6 +78,8 @@
 
     fun isStarted(task: Int) = started[task]
 
+    /** Tasks of which the result has come. */
+    val doneTasks get() = done.cardinality()
     val isComplete get() = done.cardinality() == size
 
     /** True if every attempt is settled: each is proved to have started or proved not to. */
--- a/entry/src/test/kotlin/io/bluebellramp/entry/EntryProgramTest.kt
+++ b/entry/src/test/kotlin/io/bluebellramp/entry/EntryProgramTest.kt
@@ -2,6 +2,7 @@
 
 import io.bluebellramp.core.Address
 import io.bluebellramp.core.EntryId
+import io.bluebellramp.core.IncarnationId
 import io.bluebellramp.core.ServiceId
 import io.bluebellramp.core.SiteId
 import io.bluebellramp.core.SubmissionId
@@ -9,10 +10,12 @@
 import io.bluebellramp.core.ZoneId
 import io.bluebellramp.messages.Answer
 import io.bluebellramp.messages.AnswerOutcome
+import io.bluebellramp.messages.EntryPeer
 import io.bluebellramp.messages.EntrySettings
 import io.bluebellramp.messages.ErrorBody
 import io.bluebellramp.messages.ErrorCode
 import io.bluebellramp.messages.JobSubmission
+import io.bluebellramp.messages.PendingBody
 import io.bluebellramp.messages.RequestSubmission
 import io.bluebellramp.messages.TaskSpecification
 import io.bluebellramp.messages.TaskStatus
@@ -215,6 +218,65 @@
             }
     }
 
+    @Nested
+    inner class `A caller who asks an entry that has not seen the submission` {
+        private suspend fun second(): Address {
+            val other = freeAddress()
+            val second = start("e2", other)
+            while (!second.isReady() || control.peers.size < 2) delay(5)
+            return other
+        }
+
+        private suspend fun pending(
+            at: Address,
+            job: JobSubmission,
+        ): PendingBody {
+            val response = http.get("http://$at/v1/jobs/${job.submission}?wait=0")
+            assertEquals(HttpStatusCode.Accepted, response.status)
+            return WireJson.decodeFromString(PendingBody.serializer(), response.bodyAsText())
+        }
+
+        @Test
+        fun `can cancel it there`() =
+            test {
+                val other = second()
+                val job = job()
+                post(job, query = "?wait=50")
+                val answer = post("/v1/jobs/${job.submission}/cancel", "", other).answer()
+                assertEquals(AnswerOutcome.NOT_RUN to ErrorCode.CANCELLED, answer.outcome to answer.error?.code)
+                assertEquals(answer, post(job).answer())
+            }
+
+        @Test
+        fun `is told how many tasks are done, and the answer then`() =
+            test {
+                val go = CompletableDeferred<Unit>()
+                agent("a1") {
+                    if (it.task > 1) go.await()
+                    it.done()
+                }
+                val other = second()
+                val job = job(5)
+                post(job, query = "?wait=10")
+                while (pending(address, job).tasksDone != 2) delay(5)
+                val expected = PendingBody(submission = job.submission, tasks = 5, tasksDone = 2)
+                assertEquals(listOf(expected, expected), listOf(address, other).map { pending(it, job) })
+                go.complete(Unit)
+                assertEquals(AnswerOutcome.COMPLETE, http.get("http://$other/v1/jobs/${job.submission}").answer().outcome)
+            }
+
+        @Test
+        fun `is told that no entry knows it, unless one does not answer`() =
+            test {
+                val other = second()
+                val path = "/v1/jobs/${SubmissionId.create(Instant.now())}/cancel"
+                assertEquals(ErrorCode.NOT_FOUND, post(path, "", other).error().code)
+                val gone = EntryPeer(EntryId("e3"), IncarnationId.next(), freeAddress(), SiteId("vestland"))
+                control.peers[gone.entry.value] = gone
+                while (post(path, "", other).error().code != ErrorCode.OWNER_UNREACHABLE) delay(5)
+            }
+    }
+
     @Nested
     inner class `A caller who sends a request` {
         @Test
