Each control logs to a file of its own name

Cause: every member wrote to control.log, so members that share a log folder, as in the local system, overwrote each other's lines; the scripts worked round it with a folder for each. Change: bluebellramp-control-MEMBER.log, as the other programs do. The scripts need no folders of their own any more.

--- a/control/src/main/kotlin/io/bluebellramp/control/Main.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/Main.kt
@@ -23,7 +23,6 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 private const val NAME = "bluebellramp-control"
-private const val LOG_FILE = "control.log"
 
 /** Runs a control process until SIGTERM. */
 fun main(args: Array<String>) =
@@ -31,7 +30,7 @@
         name = NAME,
         args = args,
         reader = SettingsReader("ControlSettings", ControlSettings.serializer(), ::checkSettings),
-        logFile = { settings -> settings.logFolder?.let { Path.of(it, LOG_FILE) } },
+        logFile = { settings -> settings.logFolder?.let { Path.of(it, "$NAME-${settings.member}.log") } },
         start = ::startControl,
     )
 
--- a/entry/src/main/kotlin/io/bluebellramp/entry/Submission.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/Submission.kt
@@ -80,7 +80,8 @@
 
     /** Tasks of which the result has come. */
     val doneTasks get() = done.cardinality()
-    val isComplete get() = done.cardinality() == size
+
+    val isComplete get() = doneTasks == size
 
     /** True if every attempt is settled: each is proved to have started or proved not to. */
     val isSettled get() = outstanding.keys.all { started[it] } && unknown.isEmpty
--- a/proofs/control-isolated.sh
+++ b/proofs/control-isolated.sh
@@ -17,7 +17,7 @@
 {
   "member": "control-$1", "zone": "$(zone_of "$1")", "listen": "$(own_address "$1")",
   "advertised": "$(control_address "$1")", "bindOutgoing": true,
-  "dataFolder": "$CLUSTER_FOLDER/data/control-$1", "members": $(members_json), "logFolder": "$CLUSTER_FOLDER/log/control-$1"
+  "dataFolder": "$CLUSTER_FOLDER/data/control-$1", "members": $(members_json), "logFolder": "$CLUSTER_FOLDER/log"
 }
 JSON
   launch "control-$1" bluebellramp-control "$file"
@@ -56,7 +56,7 @@
 # elected_millis SINCE: when one of the other controls became leader after SINCE (ms since the epoch), 0 if none did.
 elected_millis() {
   local time at first=0
-  for time in $(grep -h ': leader, leader control-' "$CLUSTER_FOLDER"/log/control-*/control.log | sed -n 's/.*"time": "\([^"]*\)".*/\1/p'); do
+  for time in $(grep -h ': leader, leader control-' "$CLUSTER_FOLDER"/log/bluebellramp-control-*.log | sed -n 's/.*"time": "\([^"]*\)".*/\1/p'); do
     at=$(date -d "$time" +%s%3N)
     if [ "$at" -gt "$1" ] && { [ "$first" = 0 ] || [ "$at" -lt "$first" ]; }; then first=$at; fi
   done
--- a/scripts/measure-zone.sh
+++ b/scripts/measure-zone.sh
@@ -18,15 +18,6 @@
 CHANGING=()
 trap 'kill "${CHANGING[@]}" 2>/dev/null || true; cluster_stop' EXIT
 
-# Each control gets its own log folder, since all members write to one file name.
-eval "$(declare -f launch | sed '1s/launch/launch_program/')"
-launch() {
-  if [[ $1 == control-* ]]; then
-    sed -i "s#\"logFolder\": \"[^\"]*\"#\"logFolder\": \"$CLUSTER_FOLDER/log/$1\"#" "$3"
-  fi
-  launch_program "$@"
-}
-
 WARM_UP=${WARM_UP:-5} LENGTH=${LENGTH:-35} OUT_AT=${OUT_AT:-10} IN_AT=${IN_AT:-22} SEED=${SEED:-1}
 SLOTS_OF_TARGET=8
 SLOTS=$((CLUSTER_AGENTS * SLOTS_OF_TARGET))
@@ -52,7 +43,7 @@
     echo "try $tries of $2 failed" >>"$CLUSTER_FOLDER/out/changes.txt"
   done
 }
-accepted_lines() { grep -hs "$1 by" "$CLUSTER_FOLDER"/log/control-*/* | grep change_accepted; } # CHANGE
+accepted_lines() { grep -hs "$1 by" "$CLUSTER_FOLDER"/log/bluebellramp-control-* | grep change_accepted; } # CHANGE
 is_accepted() { [ -n "$(accepted_lines "$1")" ]; }
 accepted_at() { # CHANGE: the first time of the log line (ms since the epoch)
   local line
