--- a/agent/src/main/kotlin/io/bluebellramp/agent/AgentMetrics.kt
+++ b/agent/src/main/kotlin/io/bluebellramp/agent/AgentMetrics.kt
@@ -1,27 +1,27 @@
 package io.bluebellramp.agent
 
-import io.prometheus.metrics.core.metrics.Counter
-import io.prometheus.metrics.core.metrics.Gauge
+import io.bluebellramp.runtime.counter
+import io.bluebellramp.runtime.gauge
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 
 /** The metrics of an agent. */
 internal class AgentMetrics(
     registry: PrometheusRegistry,
 ) {
-    private val starts = counter("bluebellramp_agent_starts", "Attempts started at the target.", registry)
-    private val refusals = counter("bluebellramp_agent_refusals", "Attempts refused, by reason.", registry, "reason")
-    private val dropped = counter("bluebellramp_agent_outcomes_dropped", "Outcomes that reach nobody, by reason.", registry, "reason")
-    private val frames = counter("bluebellramp_agent_frames", "Frames to and from entries.", registry, "direction")
-    private val characters = counter("bluebellramp_agent_frame_characters", "Size of those frames (characters).", registry, "direction")
-    private val slotsUsed = gauge("bluebellramp_agent_slots_used", "Tasks that run.", registry)
-    private val slots = gauge("bluebellramp_agent_slots", "Tasks that may run at once.", registry)
-    private val queue = gauge("bluebellramp_agent_queue", "Tasks that wait at the agent.", registry)
-    private val connections = gauge("bluebellramp_agent_connections_used", "Requests that run.", registry)
-    private val permitLeft = gauge("bluebellramp_agent_permit_left_seconds", "Life left of the permit (s).", registry)
-    private val revision = gauge("bluebellramp_agent_revision", "Highest revision seen in a permit.", registry)
-    private val ledger = gauge("bluebellramp_agent_ledger_tasks", "Tasks in the start ledger.", registry)
-    private val ledgerBytes = gauge("bluebellramp_agent_ledger_bytes", "Memory of the start ledger (bytes).", registry)
-    private val outcomes = gauge("bluebellramp_agent_outcomes_kept", "Outcomes that no entry has received yet.", registry)
+    private val starts = registry.counter("bluebellramp_agent_starts", "Attempts started at the target.")
+    private val refusals = registry.counter("bluebellramp_agent_refusals", "Attempts refused, by reason.", "reason")
+    private val dropped = registry.counter("bluebellramp_agent_outcomes_dropped", "Outcomes that reach nobody, by reason.", "reason")
+    private val frames = registry.counter("bluebellramp_agent_frames", "Frames to and from entries.", "direction")
+    private val characters = registry.counter("bluebellramp_agent_frame_characters", "Size of those frames (characters).", "direction")
+    private val slotsUsed = registry.gauge("bluebellramp_agent_slots_used", "Tasks that run.")
+    private val slots = registry.gauge("bluebellramp_agent_slots", "Tasks that may run at once.")
+    private val queue = registry.gauge("bluebellramp_agent_queue", "Tasks that wait at the agent.")
+    private val connections = registry.gauge("bluebellramp_agent_connections_used", "Requests that run.")
+    private val permitLeft = registry.gauge("bluebellramp_agent_permit_left_seconds", "Life left of the permit (s).")
+    private val revision = registry.gauge("bluebellramp_agent_revision", "Highest revision seen in a permit.")
+    private val ledger = registry.gauge("bluebellramp_agent_ledger_tasks", "Tasks in the start ledger.")
+    private val ledgerBytes = registry.gauge("bluebellramp_agent_ledger_bytes", "Memory of the start ledger (bytes).")
+    private val outcomes = registry.gauge("bluebellramp_agent_outcomes_kept", "Outcomes that no entry has received yet.")
 
     /** Counts a start, or a refusal. */
     fun decided(refusal: Refusal?) {
@@ -61,30 +61,6 @@
         characters.labelValues(direction).inc(size.toDouble())
     }
 
-    private fun counter(
-        name: String,
-        help: String,
-        registry: PrometheusRegistry,
-        vararg labels: String,
-    ): Counter =
-        Counter
-            .builder()
-            .name(name)
-            .help(help)
-            .labelNames(*labels)
-            .register(registry)
-
-    private fun gauge(
-        name: String,
-        help: String,
-        registry: PrometheusRegistry,
-    ): Gauge =
-        Gauge
-            .builder()
-            .name(name)
-            .help(help)
-            .register(registry)
-
     private companion object {
         const val MILLIS_PER_SECOND = 1000.0
     }
--- a/agent/src/main/kotlin/io/bluebellramp/agent/Main.kt
+++ b/agent/src/main/kotlin/io/bluebellramp/agent/Main.kt
@@ -3,7 +3,6 @@
 import io.bluebellramp.messages.AgentSettings
 import io.bluebellramp.runtime.SettingsReader
 import io.bluebellramp.runtime.runServer
-import java.nio.file.Path
 
 private const val NAME = "bluebellramp-agent"
 
@@ -13,6 +12,7 @@
         name = NAME,
         args = args,
         reader = SettingsReader(type = "AgentSettings", serializer = AgentSettings.serializer()),
-        logFile = { settings -> settings.logFolder?.let { Path.of(it, "$NAME-${settings.agent}.log") } },
+        logFolder = { it.logFolder },
+        instance = { it.agent },
         start = { settings -> AgentProgram(settings).also { it.start() } },
     )
--- a/control/src/main/kotlin/io/bluebellramp/control/ControlMetrics.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ControlMetrics.kt
@@ -1,6 +1,6 @@
 package io.bluebellramp.control
 
-import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.bluebellramp.runtime.gauge
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 
 /** Registers the metrics of [control] in [registry]. */
@@ -9,32 +9,23 @@
     registry: PrometheusRegistry,
 ) {
     val log = control.log
-    registry.gauge("control_term", "Current term of the log") { log.status().term }
-    registry.gauge("control_leader", "1 while this member leads with a majority") { if (log.holdsMajority()) 1 else 0 }
-    registry.gauge("control_role", "0 leader, 1 follower, 2 candidate, 3 learner") { log.status().role.ordinal }
-    registry.gauge("control_commit_index", "Last committed index of the log") { log.status().commitIndex }
-    registry.gauge("control_last_index", "Last index of the log") { log.status().lastIndex }
-    registry.gauge("control_revision", "Accepted revision of the configuration") { control.machine.configuration.value.revision.value }
-    registry.gauge("control_revision_in_force", "Revision in force, or -1 if unknown here") {
+    registry.gauge("bluebellramp_control_term", "Current term of the log") { log.status().term }
+    registry.gauge("bluebellramp_control_leader", "1 while this member leads with a majority") { if (log.holdsMajority()) 1 else 0 }
+    registry.gauge("bluebellramp_control_role", "0 leader, 1 follower, 2 candidate, 3 learner") { log.status().role.ordinal }
+    registry.gauge("bluebellramp_control_commit_index", "Last committed index of the log") { log.status().commitIndex }
+    registry.gauge("bluebellramp_control_last_index", "Last index of the log") { log.status().lastIndex }
+    registry.gauge("bluebellramp_control_revision", "Accepted revision of the configuration") {
+        control.machine.configuration.value.revision.value
+    }
+    registry.gauge("bluebellramp_control_revision_in_force", "Revision in force, or -1 if unknown here") {
         control.leases.revisionInForce()?.value
             ?: UNKNOWN
     }
-    registry.gauge("control_leases", "Entries whose lease may be alive") { control.leases.leases() }
-    registry.gauge("control_claims", "Claims held in memory") { control.claims.size() }
-    registry.gauge("control_claims_whole", "1 while every submission can be judged here") { if (control.claims.isWhole()) 1 else 0 }
+    registry.gauge("bluebellramp_control_leases", "Entries whose lease may be alive") { control.leases.leases() }
+    registry.gauge("bluebellramp_control_claims", "Claims held in memory") { control.claims.size() }
+    registry.gauge("bluebellramp_control_claims_whole", "1 while every submission can be judged here") {
+        if (control.claims.isWhole()) 1 else 0
+    }
 }
 
 private const val UNKNOWN = -1
-
-private fun PrometheusRegistry.gauge(
-    name: String,
-    help: String,
-    value: () -> Number,
-) {
-    GaugeWithCallback
-        .builder()
-        .name("bluebellramp_$name")
-        .help(help)
-        .callback { it.call(value().toDouble()) }
-        .register(this)
-}
--- a/control/src/main/kotlin/io/bluebellramp/control/Main.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/Main.kt
@@ -30,7 +30,8 @@
         name = NAME,
         args = args,
         reader = SettingsReader("ControlSettings", ControlSettings.serializer(), ::checkSettings),
-        logFile = { settings -> settings.logFolder?.let { Path.of(it, "$NAME-${settings.member}.log") } },
+        logFolder = { it.logFolder },
+        instance = { it.member },
         start = ::startControl,
     )
 
--- a/entry/src/main/kotlin/io/bluebellramp/entry/CallMetrics.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/CallMetrics.kt
@@ -3,7 +3,7 @@
 import io.bluebellramp.core.Clock
 import io.bluebellramp.messages.DispatchKind
 import io.bluebellramp.messages.ErrorCode
-import io.prometheus.metrics.core.metrics.Counter
+import io.bluebellramp.runtime.counter
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlin.time.Duration
@@ -21,13 +21,8 @@
             .help("Time from the arrival of a submission to its reply")
             .labelNames("kind", "outcome")
             .register(registry)
-    private val refusals: Counter =
-        Counter
-            .builder()
-            .name("bluebellramp_entry_refused_calls_total")
-            .help("Calls refused without an answer of the owner")
-            .labelNames("code")
-            .register(registry)
+    private val refusals =
+        registry.counter("bluebellramp_entry_refused_calls_total", "Calls refused without an answer of the owner", "code")
 
     /** The start of a call. */
     fun start(): Duration = clock.monotonic()
--- a/entry/src/main/kotlin/io/bluebellramp/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/EntryMetrics.kt
@@ -1,8 +1,9 @@
 package io.bluebellramp.entry
 
 import io.bluebellramp.core.Clock
+import io.bluebellramp.runtime.counter
+import io.bluebellramp.runtime.gauge
 import io.prometheus.metrics.core.metrics.Counter
-import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
@@ -11,24 +12,24 @@
 internal class EntryMetrics(
     private val core: EntryCore,
     private val clock: Clock,
-    private val registry: PrometheusRegistry,
+    registry: PrometheusRegistry,
 ) : Traffic {
     @Volatile
     private var liveUntil: Duration = Duration.ZERO
     private val published = HashMap<String, Long>()
-    private val dispatched = counter("bluebellramp_entry_dispatched_total", "Attempts dispatched to agents")
-    private val wasted = counter("bluebellramp_entry_wasted_messages_total", "Messages that served no purpose", "kind")
-    private val outcomes = counter("bluebellramp_entry_outcomes_total", "Outcomes of attempts", "status")
-    private val answers = counter("bluebellramp_entry_answers_total", "Final answers", "outcome")
-    private val refusals = counter("bluebellramp_entry_refusals_total", "Submissions refused", "code")
-    private val claims = counter("bluebellramp_entry_claims_total", "Claims by verdict", "verdict")
-    private val frames = counter("bluebellramp_entry_frames_total", "Frames to and from agents", "direction")
-    private val characters = counter("bluebellramp_entry_frame_characters_total", "Characters in frames", "direction")
-    private val queued = gauge("bluebellramp_entry_queued_tasks", "Tasks and requests that wait")
-    private val open = gauge("bluebellramp_entry_open_submissions", "Submissions without an answer")
-    private val linked = gauge("bluebellramp_entry_linked_agents", "Agents that are connected")
-    private val revision = gauge("bluebellramp_entry_revision", "Revision of the lease")
-    private val leaseLeft = gauge("bluebellramp_entry_lease_remaining_seconds", "Time until the lease runs out")
+    private val dispatched = registry.counter("bluebellramp_entry_dispatched_total", "Attempts dispatched to agents")
+    private val wasted = registry.counter("bluebellramp_entry_wasted_messages_total", "Messages that served no purpose", "kind")
+    private val outcomes = registry.counter("bluebellramp_entry_outcomes_total", "Outcomes of attempts", "status")
+    private val answers = registry.counter("bluebellramp_entry_answers_total", "Final answers", "outcome")
+    private val refusals = registry.counter("bluebellramp_entry_refusals_total", "Submissions refused", "code")
+    private val claims = registry.counter("bluebellramp_entry_claims_total", "Claims by verdict", "verdict")
+    private val frames = registry.counter("bluebellramp_entry_frames_total", "Frames to and from agents", "direction")
+    private val characters = registry.counter("bluebellramp_entry_frame_characters_total", "Characters in frames", "direction")
+    private val queued = registry.gauge("bluebellramp_entry_queued_tasks", "Tasks and requests that wait")
+    private val open = registry.gauge("bluebellramp_entry_open_submissions", "Submissions without an answer")
+    private val linked = registry.gauge("bluebellramp_entry_linked_agents", "Agents that are connected")
+    private val revision = registry.gauge("bluebellramp_entry_revision", "Revision of the lease")
+    private val leaseLeft = registry.gauge("bluebellramp_entry_lease_remaining_seconds", "Time until the lease runs out")
 
     /** True while the lease lasts, as of the last [publish]. */
     fun isLeaseLive() = clock.monotonic() < liveUntil
@@ -76,26 +77,4 @@
         if (total == before) return
         if (label == null) counter.inc(total - before) else counter.labelValues(label.lowercase()).inc(total - before)
     }
-
-    private fun counter(
-        name: String,
-        help: String,
-        vararg labels: String,
-    ): Counter =
-        Counter
-            .builder()
-            .name(name)
-            .help(help)
-            .labelNames(*labels)
-            .register(registry)
-
-    private fun gauge(
-        name: String,
-        help: String,
-    ): Gauge =
-        Gauge
-            .builder()
-            .name(name)
-            .help(help)
-            .register(registry)
 }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/Main.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/Main.kt
@@ -3,7 +3,6 @@
 import io.bluebellramp.messages.EntrySettings
 import io.bluebellramp.runtime.SettingsReader
 import io.bluebellramp.runtime.runServer
-import java.nio.file.Path
 
 private const val NAME = "bluebellramp-entry"
 
@@ -13,6 +12,7 @@
         name = NAME,
         args = args,
         reader = SettingsReader(type = "EntrySettings", serializer = EntrySettings.serializer()),
-        logFile = { settings -> settings.logFolder?.let { Path.of(it, "$NAME-${settings.entry}.log") } },
+        logFolder = { it.logFolder },
+        instance = { it.entry },
         start = { settings -> EntryProgram(settings).start() },
     )
--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/Program.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/Program.kt
@@ -37,14 +37,16 @@
  *
  * @param name name of the binary
  * @param reader reads the settings
- * @param logFile tells the log file from the settings, or null for the console
+ * @param logFolder tells the folder of the log file from the settings, or null for a log on the console
+ * @param instance tells what sets this process apart from others of the same program, for the name of its log file
  * @param start starts the program and returns once it listens
  */
 fun <T> runServer(
     name: String,
     args: Array<String>,
     reader: SettingsReader<T>,
-    logFile: (T) -> Path?,
+    logFolder: (T) -> String?,
+    instance: (T) -> Any,
     start: (T) -> RunningProgram,
 ) {
     if ("--version" in args) {
@@ -57,7 +59,7 @@
     parser.option(ArgType.Boolean, fullName = "version", description = "Print the version and exit").default(false)
     parser.parse(args)
     val file = config ?: usageError("$name: --config FILE is required")
-    if (!check) configureLogging(reader.peek(Path.of(file))?.let(logFile))
+    if (!check) configureLogging(reader.peek(Path.of(file))?.let { logFile(name, logFolder(it), instance(it)) })
     val settings =
         when (val result = reader.read(Path.of(file))) {
             is SettingsResult.Valid -> result.settings
@@ -70,6 +72,12 @@
     serve(name) { start(settings) }
 }
 
+private fun logFile(
+    name: String,
+    folder: String?,
+    instance: Any,
+): Path? = folder?.let { Path.of(it, "$name-$instance.log") }
+
 /** The violation in one line. */
 fun Violation.wording(): String = "$path: $message"
 
--- a/samples/src/main/kotlin/io/bluebellramp/samples/Main.kt
+++ b/samples/src/main/kotlin/io/bluebellramp/samples/Main.kt
@@ -3,7 +3,6 @@
 import io.bluebellramp.messages.SampleTargetSettings
 import io.bluebellramp.runtime.SettingsReader
 import io.bluebellramp.runtime.runServer
-import java.nio.file.Path
 
 private const val NAME = "bluebellramp-target"
 
@@ -13,6 +12,7 @@
         name = NAME,
         args = args,
         reader = SettingsReader(type = "SampleTargetSettings", serializer = SampleTargetSettings.serializer()),
-        logFile = { settings -> settings.logFolder?.let { Path.of(it, "$NAME-${settings.target}.log") } },
+        logFolder = { it.logFolder },
+        instance = { it.target },
         start = { settings -> SampleTarget(settings).also { it.start() } },
     )
--- a/samples/src/main/kotlin/io/bluebellramp/samples/RelayMain.kt
+++ b/samples/src/main/kotlin/io/bluebellramp/samples/RelayMain.kt
@@ -13,6 +13,11 @@
         name = NAME,
         args = args,
         reader = SettingsReader(type = "RelaySettings", serializer = RelaySettings.serializer()),
-        logFile = { settings -> settings.logFolder?.let { Path.of(it, "$NAME.log") } },
+        logFolder = { it.logFolder },
+        instance = {
+            it.routes
+                .first()
+                .listen.port
+        },
         start = { settings -> Relay(settings.routes, Partition(Path.of(settings.cutFile))).also { it.start() } },
     )
