An entry lets go of a submission with its answer, and counts what results really take

Besides, kept answers were bounded by 64 M characters of text; for short results the objects around the text take several times as much, more than the heap. Ruled out: log lines that wait (no Action among the largest classes), and jobs in flight (4,975 jobs at most, answered within seconds). Change: deadlines are a tree from which a submission leaves with its answer or refusal. Kept results are bounded by 24 MiB, estimated with 120 bytes for each result besides its text.

--- a/entry/src/main/kotlin/io/bluebellramp/entry/KeptAnswers.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/KeptAnswers.kt
@@ -10,11 +10,11 @@
 /**
  * Keeps final answers for callers that ask again. No I/O.
  *
- * An id is remembered for [life]. The results of the oldest answers are dropped first once they exceed [maxCharacters].
+ * An id is remembered for [life]. The results of the oldest answers are dropped first once all results exceed [maxBytes].
  */
 internal class KeptAnswers(
     private val life: Duration,
-    private val maxCharacters: Long = DEFAULT_CHARACTERS,
+    private val maxBytes: Long = DEFAULT_BYTES,
 ) {
     /** An answer and the digest of the body that it belongs to. */
     class Kept(
@@ -25,7 +25,10 @@
 
     private val answers = LinkedHashMap<SubmissionId, Kept>()
     private val withResults = ArrayDeque<SubmissionId>()
-    private var characters = 0L
+
+    /** Memory of the results that are kept, estimated (bytes). */
+    var bytes = 0L
+        private set
 
     operator fun get(id: SubmissionId): Kept? = answers[id]
 
@@ -38,14 +41,14 @@
         expire(now)
         answers[answer.submission] = Kept(digest = digest, answer = answer, until = now + life)
         if (answer.results == null) return
-        characters += answer.characters()
+        bytes += answer.resultBytes()
         withResults.addLast(answer.submission)
-        while (characters > maxCharacters && withResults.size > 1) dropResults(withResults.removeFirst())
+        while (bytes > maxBytes && withResults.size > 1) dropResults(withResults.removeFirst())
     }
 
     private fun dropResults(id: SubmissionId) {
         val kept = answers[id] ?: return
-        characters -= kept.answer.characters()
+        bytes -= kept.answer.resultBytes()
         answers[id] = Kept(digest = kept.digest, answer = kept.answer.withoutResults(), until = kept.until)
     }
 
@@ -54,24 +57,28 @@
         while (oldest.hasNext()) {
             val (id, kept) = oldest.next()
             if (kept.until > now) return
-            characters -= kept.answer.characters()
+            bytes -= kept.answer.resultBytes()
             oldest.remove()
             if (withResults.firstOrNull() == id) withResults.removeFirst()
         }
     }
 
-    private fun Answer.characters() = results?.sumOf { it.result.length + it.id.length.toLong() } ?: 0L
+    private fun Answer.resultBytes() = results?.sumOf { it.result.length + it.id.length + RESULT_BYTES } ?: 0L
 
     private fun Answer.withoutResults() =
         Answer(
             submission = submission,
             outcome = AnswerOutcome.FAILED,
             startedTasks = results?.size,
-            error = ErrorBody(ErrorCode.OUTCOME_UNKNOWN, "Every task ran but the results are no longer kept."),
+            error = RESULTS_DROPPED,
             elapsedMillis = elapsedMillis,
         )
 
     private companion object {
-        const val DEFAULT_CHARACTERS = 64L * 1024 * 1024
+        const val DEFAULT_BYTES = 24L * 1024 * 1024
+
+        /** Memory of one result besides its text: the object, and the headers of its two texts. */
+        const val RESULT_BYTES = 120L
+        val RESULTS_DROPPED = ErrorBody(ErrorCode.OUTCOME_UNKNOWN, "Every task ran but the results are no longer kept.")
     }
 }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionRegistry.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionRegistry.kt
@@ -5,7 +5,6 @@
 import io.bluebellramp.messages.AnswerOutcome
 import io.bluebellramp.messages.ErrorBody
 import io.bluebellramp.messages.ErrorCode
-import java.util.PriorityQueue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -20,8 +19,6 @@
     private val counters: Counters,
     private val sink: ActionSink,
 ) : SubmissionListener {
-    private val deadlines = PriorityQueue<Submission>(compareBy { it.deadline })
-
     /** The claims on the submissions. */
     val ownership = Ownership(table, lease, dispatcher, counters, sink, admit = ::admit)
 
@@ -38,7 +35,6 @@
         val submission = Submission(new = new, arrived = table.now, deadline = table.now + millis.milliseconds)
         if (isLeaving) submission.refusal = ErrorBody(ErrorCode.LEAVING, "The entry is shutting down.")
         table.add(submission)
-        deadlines += submission
         sink += Action.Claim(new.id, new.digest)
         return null
     }
@@ -87,7 +83,7 @@
     /** Sets the time and ends what is past its deadline. */
     fun advance(now: Duration) {
         table.now = now
-        while (deadlines.isNotEmpty() && deadlines.peek().deadline <= now) expire(deadlines.poll())
+        while (true) expire(table.takeDue() ?: return)
     }
 
     private fun expire(submission: Submission) {
--- a/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionTable.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionTable.kt
@@ -6,6 +6,7 @@
 import io.bluebellramp.messages.ClaimHolder
 import io.bluebellramp.messages.ErrorBody
 import io.bluebellramp.messages.ErrorCode
+import java.util.TreeSet
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
 
@@ -16,6 +17,9 @@
 ) {
     private val submissions = LinkedHashMap<SubmissionId, Submission>()
     private val owners = HashMap<SubmissionId, ClaimHolder>()
+
+    /** By deadline. A submission leaves with its answer, so that its payloads are not held until then. */
+    private val deadlines = TreeSet<Submission>(compareBy({ it.deadline }, { it.id.value }))
     private val kept = KeptAnswers(life = KEEP_LIFE)
 
     /** Submissions whose attempts are being settled. */
@@ -40,8 +44,12 @@
 
     fun add(submission: Submission) {
         submissions[submission.id] = submission
+        deadlines += submission
     }
 
+    /** Takes the next submission whose deadline has come, or null. Each is taken once. */
+    fun takeDue(): Submission? = if (deadlines.isNotEmpty() && deadlines.first().deadline <= now) deadlines.pollFirst() else null
+
     /** The entry that owns a followed submission. */
     fun owner(submission: Submission): ClaimHolder = owners.getValue(submission.id)
 
@@ -96,6 +104,7 @@
         submission.phase = SubmissionPhase.ANSWERED
         submissions.remove(submission.id)
         owners.remove(submission.id)
+        deadlines -= submission
         closing -= submission
         unconfirmed -= submission
     }
--- a/entry/src/test/kotlin/io/bluebellramp/entry/KeptAnswersTest.kt
+++ b/entry/src/test/kotlin/io/bluebellramp/entry/KeptAnswersTest.kt
@@ -12,8 +12,11 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
 
+/** One result: its id and text are 10 characters, and the objects around them count, too. */
+private const val ONE_ANSWER_BYTES = 10L + 120L
+
 class KeptAnswersTest {
-    private val kept = KeptAnswers(life = 12.minutes, maxCharacters = 25)
+    private val kept = KeptAnswers(life = 12.minutes, maxBytes = 2 * ONE_ANSWER_BYTES)
     private val ids = List(4) { SubmissionId.create(Instant.EPOCH, it.toLong(), it.toLong()) }
 
     private fun add(
@@ -32,6 +35,16 @@
             )
         }
 
+        @Test
+        fun `count what a result takes besides its text`() {
+            ids.take(2).forEach { add(it, Duration.ZERO) }
+            assertEquals(2 * ONE_ANSWER_BYTES, kept.bytes)
+            add(ids[2], Duration.ZERO)
+            assertEquals(2 * ONE_ANSWER_BYTES, kept.bytes)
+            add(ids[3], 13.minutes)
+            assertEquals(ONE_ANSWER_BYTES, kept.bytes)
+        }
+
         @Test
         fun `are forgotten after their life`() {
             ids.take(2).forEach { add(it, Duration.ZERO) }
