A restarted member copies claims in pages, not in one call for each 2 s of ids

Since the groups of claims span 2 s in place of 10, a restarted control asked each other member 390 times for its claims, nearly all of them empty; it was not whole when the next control went down 2 s after a leader was there, and then no majority could judge ids younger than its start plus 5 s. Nothing started; the callers were told so. Ruled out: groups of 10 s again (a copy of a full group ended a member with an OutOfMemoryError); calls in parallel (as many calls on a cold process). Change: a copy is a page of whole groups with at least 2,000 claims, and names the group that comes next. At today's sizes it is one call. The bound of a full member holds claim by claim.

--- a/control/src/main/kotlin/io/bluebellramp/control/ClaimDesk.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ClaimDesk.kt
@@ -37,11 +37,11 @@
     /** Gives up claims. */
     fun release(release: ClaimRelease) = onTable { it.release(release) }
 
-    /** Returns a copy of the claims of [group], or of all if it is null. */
+    /** Returns a page of the claims from group [from] on. */
     fun copy(
         need: CopyNeed,
-        group: Long?,
-    ): ClaimCopy = onTable { it.copy(need, group) }
+        from: Long,
+    ): ClaimCopy = onTable { it.copy(need, from) }
 
     /** Number of claims held. */
     fun size(): Int = onTable { it.size }
@@ -52,7 +52,7 @@
     /**
      * Copies the claims that this member may lack from each member that has them.
      *
-     * @param fetch asks a member for a copy of one group, and returns null if no answer came
+     * @param fetch asks a member for the page that begins with a group, and returns null if no answer came
      */
     suspend fun copyMissing(fetch: suspend (MemberAddress, CopyNeed, Long) -> ClaimCopy?) {
         if (onTable { it.isFull() }) return
@@ -60,17 +60,19 @@
         sources.forEach { copyFrom(it, fetch) }
     }
 
-    /** Copies the claims of [source] group by group, since all together would not fit into memory a second time. */
+    /** Copies the claims of [source] page by page, since all together would not fit into memory a second time. */
     private suspend fun copyFrom(
         source: MemberAddress,
         fetch: suspend (MemberAddress, CopyNeed, Long) -> ClaimCopy?,
     ) {
-        val (need, groups) = onTable { it.need to it.groups() }
+        val need = onTable { it.need }
+        var from: Long? = onTable { it.firstGroup() }
         var version = Long.MAX_VALUE
-        for (group in groups) {
-            val copy = fetch(source, need, group) ?: return
+        while (from != null) {
+            val copy = fetch(source, need, from) ?: return
             if (!onTable { it.mergePart(copy) }) return
             version = minOf(version, copy.membership)
+            from = copy.next
         }
         onTable { it.finishCopy(source.member, version) }
     }
--- a/control/src/main/kotlin/io/bluebellramp/control/ClaimStore.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ClaimStore.kt
@@ -40,10 +40,14 @@
         groups.forEach { (group, claims) -> if (group < newest - GROWING_GROUPS) claims.trim() }
     }
 
-    /** Returns the claims of group [group], or all claims if it is null. */
-    fun claims(group: Long?): List<Pair<ClaimKey, StoredClaim>> {
-        val chosen = if (group == null) groups.values else listOfNotNull(groups[group])
-        return chosen.flatMap { it.claims() }
+    /** Returns the claims of the groups from [from] on, as many whole groups as it takes to have [PAGE_CLAIMS]. */
+    fun page(from: Long): ClaimPage {
+        val claims = ArrayList<Pair<ClaimKey, StoredClaim>>()
+        for (group in groups.keys.filter { it >= from }.sorted()) {
+            if (claims.size >= PAGE_CLAIMS) return ClaimPage(claims, next = group)
+            claims += groups.getValue(group).claims()
+        }
+        return ClaimPage(claims, next = null)
     }
 
     companion object {
@@ -52,7 +56,10 @@
         /** The newest groups still grow; older ones keep no room for more claims. */
         private const val GROWING_GROUPS = 10
 
-        /** Span of the times inside the ids of one group, which is copied in one message: 2,112 claims at 1,056 a second. */
+        /** A page ends with the group that reaches this many claims. */
+        private const val PAGE_CLAIMS = 2_000
+
+        /** Span of the times inside the ids of one group, which is copied whole: 2,112 claims at 1,056 a second. */
         val GROUP_SPAN: Duration = 2.seconds
 
         /** Returns the group that ids made at [time] belong to. */
@@ -61,3 +68,13 @@
         private fun ClaimKey.group(): Long = (high ushr TIME_SHIFT) / GROUP_SPAN.inWholeMilliseconds
     }
 }
+
+/**
+ * Some claims in the order of their groups.
+ *
+ * @property next the group that comes after them, or null if there is none
+ */
+internal class ClaimPage(
+    val claims: List<Pair<ClaimKey, StoredClaim>>,
+    val next: Long?,
+)
--- a/control/src/main/kotlin/io/bluebellramp/control/ClaimTable.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ClaimTable.kt
@@ -87,25 +87,22 @@
         release.submissions.forEach { release(ClaimKey.of(it), release) }
     }
 
-    /** Returns a copy of the claims of [group] (see [groups]), or of all if it is null, complete if it is good enough for [need]. */
+    /** Returns a page of the claims from group [from] on (see [firstGroup]), complete if it is good enough for [need]. */
     fun copy(
         need: CopyNeed,
-        group: Long? = null,
+        from: Long,
     ): ClaimCopy {
         forgetExpired()
-        val claims = store.claims(group).flatMap { (key, claim) -> claim.all().map { it.held(key) } }
-        return ClaimCopy(membership = version, complete = gap.satisfies(need), claims = claims)
+        val page = store.page(from)
+        val claims = page.claims.flatMap { (key, claim) -> claim.all().map { it.held(key) } }
+        return ClaimCopy(membership = version, complete = gap.satisfies(need), claims = claims, next = page.next)
     }
 
-    /** Returns every group in which a member may hold claims. */
-    fun groups(): LongRange {
-        val first = now() - (KEPT + CLOCK_MARGIN).toJavaDuration()
-        val last = now() + (FUTURE_SLACK + CLOCK_MARGIN).toJavaDuration()
-        return ClaimStore.groupOf(first)..ClaimStore.groupOf(last)
-    }
+    /** Returns the oldest group in which a member may hold claims. */
+    fun firstGroup(): Long = ClaimStore.groupOf(now() - (KEPT + CLOCK_MARGIN).toJavaDuration())
 
     /**
-     * Takes over what [member] holds, given as the copies of all its groups.
+     * Takes over what [member] holds, given as all pages of its claims.
      *
      * @return false if the copies do not count, because the member is itself incomplete or in an older membership
      */
@@ -119,19 +116,18 @@
     }
 
     /**
-     * Takes over the claims of one group that another member holds. Each is a grant that the member made, so it may be known before
-     * all groups are copied; [finishCopy] says that they are.
+     * Takes over a page of the claims that another member holds. Each is a grant that the member made, so it may be known before
+     * all pages are copied; [finishCopy] says that they are.
      *
      * @return false if the copy does not count, because the member is itself incomplete or in an older membership, or this table is full
      */
     fun mergePart(copy: ClaimCopy): Boolean {
-        if (!counts(copy) || isFull()) return false
-        copy.claims.forEach(::merge)
-        return true
+        if (!counts(copy)) return false
+        return copy.claims.all(::merge)
     }
 
     /**
-     * Notes that all groups of [member] were merged, each copied in membership [version] or later.
+     * Notes that all pages of [member] were merged, each copied in membership [version] or later.
      *
      * @return false if they do not count, because the membership has changed meanwhile
      */
@@ -190,10 +186,13 @@
         if (left == null) store.remove(key) else store[key] = left
     }
 
-    private fun merge(held: HeldClaim) {
+    /** Adds [held], and returns false if there is no room for it. */
+    private fun merge(held: HeldClaim): Boolean {
         val key = ClaimKey.of(held.submission)
+        if (store[key] == null && isFull()) return false
         val claim = StoredClaim(digestOf(held.digest), shared(held.holder), held.sequence, held.takenOver)
         store[key] = store[key]?.merge(claim) ?: claim
+        return true
     }
 
     private fun digestOf(hex: String): ClaimDigest = requireNotNull(ClaimDigest.parse(hex)) { "$hex is not a digest" }
--- a/control/src/main/kotlin/io/bluebellramp/control/ControlProgram.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ControlProgram.kt
@@ -86,7 +86,7 @@
         group: Long,
     ): ClaimCopy? =
         try {
-            val response = client.get("http://${from.address}/claims/table?need=${need.name.lowercase()}&group=$group")
+            val response = client.get("http://${from.address}/claims/table?need=${need.name.lowercase()}&from=$group")
             if (response.status.isSuccess()) response.body<ClaimCopy>() else null
         } catch (e: CancellationException) {
             throw e
--- a/control/src/main/kotlin/io/bluebellramp/control/ProcessRoutes.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ProcessRoutes.kt
@@ -43,7 +43,14 @@
     post("/log/vote") { call.respond(control.log.onVote(call.receive<VoteRequest>())) }
     post("/log/append") { call.respond(control.log.onAppend(call.receive<AppendRequest>())) }
     post("/log/snapshot") { call.respond(control.log.onSnapshot(call.receive<SnapshotRequest>())) }
-    get("/claims/table") { call.respond(control.claims.copy(copyNeed(), call.request.queryParameters["group"]?.toLongOrNull())) }
+    get("/claims/table") {
+        call.respond(
+            control.claims.copy(
+                copyNeed(),
+                call.request.queryParameters["from"]?.toLongOrNull() ?: Long.MIN_VALUE,
+            ),
+        )
+    }
 }
 
 private fun RoutingContext.copyNeed(): CopyNeed {
--- a/control/src/test/kotlin/io/bluebellramp/control/ClaimTableTest.kt
+++ b/control/src/test/kotlin/io/bluebellramp/control/ClaimTableTest.kt
@@ -63,7 +63,7 @@
     private fun ClaimTable.copyFrom(
         name: String,
         other: ClaimTable,
-    ) = merge(MemberId(name), groups().map { other.copy(need, it) })
+    ) = merge(MemberId(name), other.pages(need))
 
     private fun waitUntilFresh() {
         clock.elapsed += ClaimTable.FUTURE_SLACK + 1.seconds
@@ -212,6 +212,36 @@
         }
     }
 
+    @Nested
+    inner class `A copy` {
+        private fun table(claims: Int) =
+            ClaimTable(MemberId("m2"), clock, LIFE, isFounder = true).apply {
+                join(1, members("m1", "m2", "m3"))
+                repeat(claims) { ask(submission(age = (it % 300).seconds), "a") }
+            }
+
+        @Test
+        fun `of few claims is one page, however far apart they are`() {
+            val pages = table(claims = 300).pages(CopyNeed.WHOLE)
+            assertEquals(listOf(300), pages.map { it.claims.size })
+        }
+
+        @Test
+        fun `of many claims has several pages that miss none and repeat none`() {
+            val pages = table(claims = 5_000).pages(CopyNeed.WHOLE)
+            assertTrue(pages.size in 2..4, "${pages.size} pages")
+            assertEquals(
+                5_000,
+                pages
+                    .flatMap { it.claims }
+                    .map { it.submission }
+                    .distinct()
+                    .size,
+            )
+            assertEquals(5_000, pages.sumOf { it.claims.size })
+        }
+    }
+
     @Nested
     inner class `A member that restarted` {
         @Test
@@ -235,7 +265,7 @@
             other.ask(id, "a")
             val restarted = table("m1")
             waitUntilFresh()
-            assertTrue(restarted.groups().all { restarted.mergePart(other.copy(CopyNeed.WHOLE, it)) })
+            assertTrue(other.pages(CopyNeed.WHOLE).all(restarted::mergePart))
             assertNull(restarted.ask(id, "b")?.holder)
             assertFalse(restarted.finishCopy(MemberId("m2"), version = 0))
             assertFalse(restarted.isWhole())
--- a/control/src/test/kotlin/io/bluebellramp/control/ClaimWorld.kt
+++ b/control/src/test/kotlin/io/bluebellramp/control/ClaimWorld.kt
@@ -16,6 +16,7 @@
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.toJavaDuration
+import io.bluebellramp.messages.ClaimTable as ClaimCopy
 
 /** Actions in virtual time, in the order of their times. */
 internal class Timeline(
@@ -121,8 +122,8 @@
     fun copyAll() {
         members.forEach { (member, table) ->
             table?.missing()?.forEach { source ->
-                val from = members[source]?.takeIf { it.copy(table.need, group = 0).complete }
-                val copies = from?.let { table.groups().map { group -> from.copy(table.need, group) } }
+                val from = members[source]?.takeIf { it.copy(table.need, from = 0).complete }
+                val copies = from?.pages(table.need)
                 if (copies != null && !isDropped()) time.after(delay()) { members[member]?.takeIf { it === table }?.merge(source, copies) }
             }
         }
@@ -223,3 +224,7 @@
 ) = create(clock.wall() + random.nextInt(-8000, 4000).milliseconds.toJavaDuration(), random.nextLong(), random.nextLong())
 
 internal val RUN = 40.seconds
+
+/** All pages of the claims of a member, as another one would copy them. */
+internal fun ClaimTable.pages(need: CopyNeed): List<ClaimCopy> =
+    generateSequence(copy(need, firstGroup())) { page -> page.next?.let { copy(need, it) } }.toList()
--- a/messages/src/main/kotlin/io/bluebellramp/messages/ClaimTable.kt
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/ClaimTable.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.serialization.Serializable
 
-/** All claims of one member, for a member that restarted. */
+/** A page of the claims of one member, for a member that restarted. */
 @Serializable
 data class ClaimTable(
     /** Version of the membership at the member. */
@@ -11,4 +11,6 @@
     val complete: Boolean,
     /** The claims. */
     val claims: List<HeldClaim>,
+    /** Group from which the next page goes on. Absent if this is the last one. */
+    val next: Long? = null,
 )
