An entry that is leaving refuses new work without a claim

Cause: on SIGTERM an entry refused new work as not_run, for which it claimed the id. A call that arrived between the last look at open calls and the end of the server left its claim at the members and got no response; the caller's resubmission to another entry joined an owner that was gone, and was answered failed, owner_lost.

Ruled out: an answer that was ready and not written (the call was never admitted); a lease that lapsed (the owner had left).

Change: while it leaves, an entry refuses an id that it does not know with 503 leaving and makes no claim. The refusal is true without one: it says only that this entry started nothing and that the same id may go elsewhere. The command line sends it on.

--- a/cli/src/main/kotlin/io/bluebellramp/cli/EntryClient.kt
+++ b/cli/src/main/kotlin/io/bluebellramp/cli/EntryClient.kt
@@ -116,7 +116,7 @@
 
     private companion object {
         /** The entry started nothing, and the same id may be sent to another one. */
-        val resendable = setOf(ErrorCode.NOT_READY, ErrorCode.CLAIMS_UNAVAILABLE, ErrorCode.OWNER_UNREACHABLE)
+        val resendable = setOf(ErrorCode.NOT_READY, ErrorCode.LEAVING, ErrorCode.CLAIMS_UNAVAILABLE, ErrorCode.OWNER_UNREACHABLE)
         const val ROUNDS = 8
         val PAUSE = 500.milliseconds
         val PROGRESS_TIME = 1.seconds
--- a/entry/src/main/kotlin/io/bluebellramp/entry/CallerApi.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/CallerApi.kt
@@ -44,8 +44,8 @@
  * | 413 | `ErrorBody` | the body is too large |
  * | 422 | `ErrorBody` | no executor can ever run it |
  * | 429 | `Answer`, `not_run` | the quota of the team is used up |
- * | 503 | `Answer`, `not_run` | the queue is full, the deadline can't be met or the entry is leaving |
- * | 503 | `ErrorBody` | no lease, no majority for the claim, or the owner does not answer |
+ * | 503 | `Answer`, `not_run` | the queue is full or the deadline can't be met |
+ * | 503 | `ErrorBody` | no lease, the entry is leaving, no majority for the claim, or the owner does not answer |
  */
 internal class CallerApi(
     private val shell: EntryShell,
@@ -217,7 +217,7 @@
 private fun ErrorCode?.notRunStatus() =
     when (this) {
         ErrorCode.QUOTA_EXCEEDED -> HttpStatusCode.TooManyRequests
-        ErrorCode.QUEUE_FULL, ErrorCode.DEADLINE_UNREACHABLE, ErrorCode.LEAVING -> HttpStatusCode.ServiceUnavailable
+        ErrorCode.QUEUE_FULL, ErrorCode.DEADLINE_UNREACHABLE -> HttpStatusCode.ServiceUnavailable
         else -> HttpStatusCode.OK
     }
 
--- a/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionRegistry.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionRegistry.kt
@@ -22,23 +22,29 @@
     /** The claims on the submissions. */
     val ownership = Ownership(table, lease, dispatcher, counters, sink, admit = ::admit)
 
-    /** True once new work is refused because the process ends. */
+    /** True once new work is refused because the process ends. It is refused without a claim, so that any other entry may take it at once. */
     var isLeaving = false
 
     /** Takes a submission of a caller. Returns a reply at once, or null if it follows as [Action.Deliver]. */
     fun submit(new: NewSubmission): Reply? {
         table.kept(new.id)?.let { return if (it.digest == new.digest) Reply.Whole(it.answer) else conflict(new.id) }
         table[new.id]?.let { return if (it.new.digest == new.digest) null else conflict(new.id) }
+        if (isLeaving) return refuseLeaving(new.id)
         val service = lease.service(new.service)
         if (!lease.isLive(table.now) || service == null) return Reply.Refused(ErrorBody(ErrorCode.NOT_READY, NOT_READY))
         val millis = new.deadlineMillis ?: service.deadlineMillis
         val submission = Submission(new = new, arrived = table.now, deadline = table.now + millis.milliseconds)
-        if (isLeaving) submission.refusal = ErrorBody(ErrorCode.LEAVING, "The entry is shutting down.")
         table.add(submission)
         sink += Action.Claim(new.id, new.digest)
         return null
     }
 
+    private fun refuseLeaving(id: SubmissionId): Reply {
+        counters.refusal(ErrorCode.LEAVING)
+        sink += Action.LogRouting("refuse", "leaving", id)
+        return Reply.Refused(ErrorBody(ErrorCode.LEAVING, LEAVING))
+    }
+
     private fun conflict(id: SubmissionId) = Reply.Refused(ErrorBody(ErrorCode.SUBMISSION_CONFLICT, conflictMessage(id)))
 
     /** Returns why [new] can't be taken with the configuration of now, or null. */
@@ -172,6 +178,7 @@
 
     private companion object {
         const val NOT_READY = "The entry has no lease. It started nothing. Send the same id again."
+        const val LEAVING = "The entry is shutting down. It started nothing. Send the same id to another entry."
 
         /** How long outcomes are waited for before the agents are asked. */
         val INQUIRY_WAIT = 20.milliseconds
