--- a/entry/src/test/kotlin/io/bluebellramp/entry/BadInputTest.kt
+++ b/entry/src/test/kotlin/io/bluebellramp/entry/BadInputTest.kt
@@ -29,35 +29,20 @@
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.seconds
 
-private const val BODY_BYTES = 100_000
 private const val DEPTH = 30_000
 private const val JOBS = "/v1/jobs"
 private const val REQUESTS = "/v1/requests"
 
 class BadInputTest {
-    private val control = FakeControl()
-    private val http = httpLink()
-    private val address = freeAddress()
-    private val entry =
-        EntryProgram(
-            EntrySettings(
-                entry = EntryId("e1"),
-                site = SiteId("vestland"),
-                zone = ZoneId("bergen-a"),
-                listen = address,
-                controls = listOf(control.address),
-                drainMillis = 0,
-                bodyBytes = BODY_BYTES.toLong(),
-            ),
-        ).start()
+    private val local = LocalEntry()
+    private val http = local.http
+    private val address = local.address
     private val agent = FakeAgent(address, "a1") { it.done() }.start()
 
     @AfterEach
     fun stop() {
         agent.stop()
-        entry.stop()
-        control.stop()
-        http.close()
+        local.stop()
     }
 
     /** A body that is refused, with its status, its code and the places that are named. */
@@ -143,13 +128,7 @@
             Case("body over the limit", " ".repeat(BODY_BYTES + 1), 413, ErrorCode.BODY_TOO_LARGE, "$"),
         )
 
-    private fun test(block: suspend () -> Unit) =
-        runBlocking {
-            withTimeout(30.seconds) {
-                while (!entry.isReady()) delay(5)
-                block()
-            }
-        }
+    private fun test(block: suspend () -> Unit) = local.test(block)
 
     private fun error(text: String) = WireJson.decodeFromString(ErrorBody.serializer(), text)
 
--- a/entry/src/test/kotlin/io/bluebellramp/entry/EntryProgramTest.kt
+++ b/entry/src/test/kotlin/io/bluebellramp/entry/EntryProgramTest.kt
@@ -43,27 +43,11 @@
 import kotlin.time.Duration.Companion.seconds
 
 class EntryProgramTest {
-    private val control = FakeControl()
-    private val http = httpLink()
-    private val programs = ArrayList<EntryProgram>()
+    private val local = LocalEntry()
+    private val control = local.control
+    private val http = local.http
+    private val address = local.address
     private val agents = ArrayList<FakeAgent>()
-    private val address = freeAddress()
-    private val entry = start("e1", address)
-
-    private fun start(
-        name: String,
-        address: Address,
-    ) = EntryProgram(
-        EntrySettings(
-            entry = EntryId(name),
-            site = SiteId("vestland"),
-            zone = ZoneId("bergen-a"),
-            listen = address,
-            controls = listOf(freeAddress(), control.address),
-            drainMillis = 0,
-            bodyBytes = 100_000,
-        ),
-    ).start().also { programs += it }
 
     private fun agent(
         name: String,
@@ -74,28 +58,10 @@
     @AfterEach
     fun stop() {
         agents.forEach { it.stop() }
-        programs.forEach { it.stop() }
-        control.stop()
-        http.close()
+        local.stop()
     }
 
-    private fun test(block: suspend () -> Unit) =
-        runBlocking {
-            withTimeout(30.seconds) {
-                while (!entry.isReady()) delay(5)
-                block()
-            }
-        }
-
-    private fun job(
-        size: Int = 3,
-        id: SubmissionId = SubmissionId.create(Instant.now()),
-        service: String = "desk",
-    ) = JobSubmission(
-        submission = id,
-        service = ServiceId(service),
-        tasks = List(size) { TaskSpecification(id = "t$it", payload = "p$it") },
-    )
+    private fun test(block: suspend () -> Unit) = local.test(block)
 
     private suspend fun post(
         job: JobSubmission,
@@ -157,7 +123,7 @@
                         it.done()
                     }
                 }
-                val second = start("e2", other)
+                val second = local.another("e2", other)
                 while (!second.isReady()) delay(5)
                 val job = job()
                 val answers =
@@ -222,7 +188,7 @@
     inner class `A caller who asks an entry that has not seen the submission` {
         private suspend fun second(): Address {
             val other = freeAddress()
-            val second = start("e2", other)
+            val second = local.another("e2", other)
             while (!second.isReady() || control.peers.size < 2) delay(5)
             return other
         }
@@ -331,8 +297,7 @@
                 coroutineScope {
                     val answer = async { post(job()).answer() }
                     delay(100)
-                    programs.remove(entry)
-                    entry.stop()
+                    local.stopEntry()
                     assertEquals(AnswerOutcome.COMPLETE, answer.await().outcome)
                     assertTrue(control.lastLease!!.leaving)
                 }
