--- a/cli/src/test/kotlin/io/bluebellramp/cli/EntryClientTest.kt
+++ b/cli/src/test/kotlin/io/bluebellramp/cli/EntryClientTest.kt
@@ -53,6 +53,22 @@
         }
     }
 
+    @Nested
+    inner class `An entry that started nothing and owns nothing` {
+        @Test
+        fun `is passed over for the next one with the same id`() {
+            for (code in listOf("leaving", "not_ready", "claims_unavailable", "owner_unreachable")) {
+                val first = FakeEntry(answer = """{"code":"$code","message":""}""", status = 503)
+                val second = FakeEntry(answer = """{"submission":"$id","outcome":"complete","results":[]}""")
+                listOf(first, second).use {
+                    val result = runBlocking { httpLink().use { EntryClient(it, listOf(first.address, second.address)).submit(job) } }
+                    assertEquals(AnswerOutcome.COMPLETE, assertIs<CallResult.Answered<Answer>>(result, code).value.outcome)
+                    assertEquals(first.bodies, second.bodies)
+                }
+            }
+        }
+    }
+
     @Nested
     inner class `A cancel` {
         private val unknown = """{"code":"not_found","message":"This entry does not know $id."}"""
