A member of the log ticks when something is due, not 100 times a second

A tick every 10 ms woke a timer, a worker and the core for nothing.

Ruled out: a second timer that is set anew at each input, since that costs more than a tick.

Change: the core tells when its next heartbeat or election is due; the tick sleeps until then, and half a heartbeat at most.

--- a/replication/src/main/kotlin/io/bluebellramp/replication/Elections.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/Elections.kt
@@ -15,15 +15,18 @@
 ) {
     private val granted = HashSet<MemberId>()
     private var isTrial = true
-    private var deadline = nextDeadline(state.heardAt)
+
+    /** When the next election is due. */
+    var due = nextDeadline(state.heardAt)
+        private set
 
     /** A leader was heard, or a vote given: the next election is not due before an election time has passed. */
     fun postpone(now: Duration) {
-        deadline = nextDeadline(now)
+        due = nextDeadline(now)
     }
 
     fun tick(now: Duration) {
-        if (state.role == Role.LEADER || now < deadline) return
+        if (state.role == Role.LEADER || now < due) return
         postpone(now)
         if (!state.isActive || state.log.isEmpty || !state.isVoter || state.isRetired(state.id)) return
         state.role = Role.CANDIDATE
--- a/replication/src/main/kotlin/io/bluebellramp/replication/Leader.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/Leader.kt
@@ -44,6 +44,9 @@
     /** True once a record of the own term is applied. */
     val isConfirmed get() = state.role == Role.LEADER && state.appliedIndex >= noOpIndex
 
+    /** When the next heartbeat is due. */
+    val due get() = beatAt + state.settings.heartbeat
+
     fun start(now: Duration) {
         state.role = Role.LEADER
         state.leader = state.self
@@ -59,7 +62,7 @@
         if (state.role != Role.LEADER) return
         val heard = confirmedAt(now) ?: electedAt
         if (now - heard > state.settings.stepDown) return state.follow(state.term, null)
-        if (now - beatAt >= state.settings.heartbeat) beat(now)
+        if (now >= due) beat(now)
     }
 
     /** Returns the time at which the lease ends if no further round is answered, or null without a lease. */
--- a/replication/src/main/kotlin/io/bluebellramp/replication/LogMember.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/LogMember.kt
@@ -29,7 +29,6 @@
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * A member of the replicated log.
@@ -82,6 +81,9 @@
     @Volatile
     private var leaseEnd: Duration? = null
 
+    @Volatile
+    private var due = Duration.ZERO
+
     @Volatile
     private var status = LogStatus(Role.LEARNER, 0, null, 0, 0, 0, NO_MEMBERS, emptyMap())
 
@@ -159,11 +161,18 @@
         scope.launch {
             while (true) {
                 inputs.trySend { it.onTick(clock.monotonic()) }
-                delay((settings.heartbeatMillis / TICKS_PER_HEARTBEAT).coerceAtLeast(1).milliseconds)
+                delay(untilTick())
             }
         }
     }
 
+    /** Time until the core has something to do. A due time that has passed is that of a tick that waits in [inputs]. */
+    private fun untilTick(): Duration {
+        val longest = settings.heartbeat / TICKS_PER_HEARTBEAT
+        val left = due - clock.monotonic()
+        return if (left <= Duration.ZERO) longest else minOf(left, longest)
+    }
+
     /** Feeds the core, all waiting inputs as one batch. */
     private suspend fun drive(core: RaftCore) {
         for (first in inputs) {
@@ -175,6 +184,7 @@
             }
             val output = core.take(clock.monotonic())
             leaseEnd = core.leaseEnd(clock.monotonic())
+            due = core.due
             status = core.status()
             output.atOnce.forEach(::perform)
             if (!output.isEmpty) outputs.trySend(output)
@@ -248,7 +258,7 @@
     }
 
     private companion object {
-        const val TICKS_PER_HEARTBEAT = 8
+        const val TICKS_PER_HEARTBEAT = 2
         val NO_MEMBERS = Membership(0, emptyList(), emptyList(), emptyList())
     }
 }
--- a/replication/src/main/kotlin/io/bluebellramp/replication/RaftCore.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/RaftCore.kt
@@ -33,12 +33,15 @@
     val term get() = state.term
     val stage get() = state.vote.stage
 
+    /** When the next heartbeat or election is due; inputs may change it. */
+    val due get() = if (state.role == Role.LEADER) leader.due else elections.due
+
     init {
         if (stored.vote == null) initialize(joining)
         if (!state.isVoter) state.role = Role.LEARNER
     }
 
-    /** Lets time pass. Call it several times in each heartbeat. */
+    /** Lets time pass. Call it at [due] and at least twice in each heartbeat. */
     fun onTick(now: Duration) {
         bootstrap.tick(now)
         leader.tick(now)
