--- a/scripts/measure-entry.sh
+++ b/scripts/measure-entry.sh
@@ -2,7 +2,7 @@
 # Measures one entry under rising rates of task starts: processor time a task, memory, response. The agents are stand-ins in one process.
 # Usage: scripts/measure-entry.sh RATE... (starts a second), one step for each on the same processes.
 # Inputs: the CLUSTER_ variables of cluster.sh (CLUSTER_AGENTS: stand-ins, default 470), LENGTH and WARM_UP (s), WIDTH (mean tasks of a
-# job), ENTRY_PROCESSORS (cores that the entry may use).
+# job), ENTRY_PROCESSORS (cores that the entry may use), ENTRY_OPTIONS (further options of the entry's JVM).
 export CLUSTER_CONTROLS=${CLUSTER_CONTROLS:-1} CLUSTER_ENTRIES=1 CLUSTER_AGENTS=${CLUSTER_AGENTS:-470}
 export CLUSTER_FOLDER=${CLUSTER_FOLDER:-$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)/run/measure-entry}
 export BLUEBELLRAMP_JAVA_OPTIONS="-XX:ActiveProcessorCount=${ENTRY_PROCESSORS:-4}"
@@ -40,7 +40,7 @@
 
 cluster_prepare
 for ((n = 1; n <= CLUSTER_CONTROLS; n++)); do start_control "$n"; done
-start_entry 1
+BLUEBELLRAMP_JAVA_OPTIONS="$BLUEBELLRAMP_JAVA_OPTIONS ${ENTRY_OPTIONS:-}" start_entry 1
 entry=${CLUSTER_PIDS[entry-1]}
 wait_for 30 has_leader
 cluster_configure >/dev/null
