An entry bounds the memory of calls, log lines and remembered ids, and refuses calls beyond it

Cause, by reading: nothing bounded the calls in flight, the submissions that nobody waits for, the lines in the two queues of the log (ours and tinylog's) and the remembered ids (objects of some 300 bytes each for 12 min). Change: MemoryBudget counts what each holds. A call that finds no room gets 503 with an ErrorBody before its body is read: nothing started, nothing claimed. Accepted work is counted beyond the bound and goes on. No log line is dropped: waiting lines count too.

--- a/entry/src/main/kotlin/io/bluebellramp/entry/CallerApi.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/CallerApi.kt
@@ -17,6 +17,7 @@
 import io.ktor.server.routing.Route
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
+import io.ktor.util.AttributeKey
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.atomic.AtomicInteger
@@ -45,7 +46,7 @@
  * | 422 | `ErrorBody` | no executor can ever run it |
  * | 429 | `Answer`, `not_run` | the quota of the team is used up |
  * | 503 | `Answer`, `not_run` | the queue is full, the deadline can't be met or the entry is leaving |
- * | 503 | `ErrorBody` | no lease, no majority for the claim, or the owner does not answer |
+ * | 503 | `ErrorBody` | no lease, no majority for the claim, the owner does not answer, or the memory for calls is used up (`queue_full`) |
  */
 internal class CallerApi(
     private val shell: EntryShell,
@@ -53,6 +54,7 @@
     private val reader: SubmissionReader,
     private val metrics: CallMetrics,
     private val bodyBytes: Long,
+    private val budget: MemoryBudget,
     private val isLeaving: () -> Boolean,
 ) {
     private val inFlight = AtomicInteger()
@@ -73,12 +75,29 @@
         inFlight.incrementAndGet()
         try {
             if (isLeaving()) response.header(HttpHeaders.Connection, "close")
-            serve()
+            bounded(serve)
         } finally {
             inFlight.decrementAndGet()
         }
     }
 
+    /** A call for which there is no memory is refused before its body is read, so nothing of it is started or claimed. */
+    private suspend fun ApplicationCall.bounded(serve: suspend ApplicationCall.() -> Unit) {
+        val share = budget.admit(CALL_BYTES + BODY_COPIES * declaredBytes()) ?: return refuse(NO_ROOM)
+        attributes.put(SHARE, share)
+        try {
+            serve()
+        } finally {
+            share.close()
+        }
+    }
+
+    private fun ApplicationCall.declaredBytes(): Long =
+        when {
+            request.headers[HttpHeaders.TransferEncoding] != null -> bodyBytes
+            else -> request.headers[HttpHeaders.ContentLength]?.toLongOrNull()?.coerceIn(0, bodyBytes) ?: 0
+        }
+
     private suspend fun ApplicationCall.submit(read: (String) -> ReadResult) {
         when (val body = readBody(bodyBytes)) {
             is BodyResult.Whole -> {
@@ -102,6 +121,7 @@
         val refusal = shell.use { now -> limits(submission, now) }
         if (refusal != null) return refuse(refusal.withPath())
         val started = metrics.start()
+        attributes[SHARE].resize(CALL_BYTES)
         val reply = await(submission.id, shell.submit(submission)) ?: return
         metrics.finish(started, submission.kind, reply)
     }
@@ -171,10 +191,16 @@
 
     private suspend fun ApplicationCall.answer(reply: Reply) =
         when (reply) {
-            is Reply.Whole -> respondJson(reply.answer.httpStatus(), WireJson.encodeToString(Answer.serializer(), reply.answer))
+            is Reply.Whole -> respondAnswer(reply.answer)
             is Reply.Refused -> refuse(reply.error)
         }
 
+    private suspend fun ApplicationCall.respondAnswer(answer: Answer) {
+        val text = WireJson.encodeToString(Answer.serializer(), answer)
+        attributes[SHARE].resize(CALL_BYTES + ANSWER_COPIES * text.length)
+        respondJson(answer.httpStatus(), text)
+    }
+
     private suspend fun ApplicationCall.refuse(error: ErrorBody) {
         metrics.refused(error.code)
         respondJson(error.code.httpStatus(), WireJson.encodeToString(ErrorBody.serializer(), error))
@@ -185,6 +211,17 @@
     private companion object {
         /** How long one question to the other entries waits for an answer. */
         val PEER_WAIT = 1.seconds
+        val SHARE = AttributeKey<MemoryBudget.Share>("memory")
+        val NO_ROOM = ErrorBody(ErrorCode.QUEUE_FULL, "This entry has no memory for more calls. It started nothing of this one.")
+
+        /** Memory of a call besides its bodies, with its connection. */
+        const val CALL_BYTES = 16L * 1024
+
+        /** Copies of a body while it is read: bytes, text, canonical text and tasks. */
+        const val BODY_COPIES = 4
+
+        /** Copies of an answer while it is written: text and bytes. */
+        const val ANSWER_COPIES = 2
     }
 }
 
--- a/entry/src/main/kotlin/io/bluebellramp/entry/DecisionLog.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/DecisionLog.kt
@@ -4,29 +4,41 @@
 import io.bluebellramp.placement.CreditedTarget
 import io.bluebellramp.runtime.Decision
 import io.bluebellramp.runtime.logDecision
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.withContext
 
-/** Writes one log line for each decision, outside of the core's coroutine. */
+/**
+ * Writes one log line for each decision, outside of the core's coroutine.
+ *
+ * No line is dropped. A line that waits counts in [budget], so new calls are refused while the log can't keep up.
+ */
 internal class DecisionLog(
     private val entry: EntryId,
+    private val budget: MemoryBudget,
+    private val put: (Decision) -> Unit = ::logDecision,
 ) {
     private val decisions = Channel<Action>(Channel.UNLIMITED)
 
     /** Adds a decision. */
     fun add(decision: Action) {
+        budget.take(LINE_BYTES)
         decisions.trySend(decision)
     }
 
     /** Writes decisions until it is cancelled. */
-    suspend fun run() {
-        for (decision in decisions) write(decision)
-    }
+    suspend fun run() =
+        withContext(Dispatchers.IO) {
+            for (decision in decisions) {
+                write(decision)
+                budget.give(LINE_BYTES)
+            }
+        }
 
-    /** Writes what [decision] carries. */
-    fun write(decision: Action) {
+    private fun write(decision: Action) {
         when (decision) {
-            is Action.LogPlacement -> logDecision(decision.line())
-            is Action.LogRouting -> logDecision(decision.line())
+            is Action.LogPlacement -> put(decision.line())
+            is Action.LogRouting -> put(decision.line())
             else -> Unit
         }
     }
@@ -58,4 +70,9 @@
 
     /** Target, unspent credits and running tasks. */
     private fun CreditedTarget.figures() = "$target:$credits/$running"
+
+    companion object {
+        /** Memory of one line that waits: its objects and its part of the candidates. */
+        const val LINE_BYTES = 200L
+    }
 }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/EntryCore.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/EntryCore.kt
@@ -19,6 +19,7 @@
     private val identity: EntryIdentity,
     queuedTasks: Int,
     policies: PlacementPolicies = DefaultPolicies,
+    budget: MemoryBudget = MemoryBudget(),
 ) {
     private val sink = ActionSink()
     private val agents: AgentDirectory
@@ -41,8 +42,8 @@
         services = ServiceTable(lease, agents, teams, policies)
         dispatcher = Dispatcher(lease, agents, services, teams, counters, sink)
         tracker = AttemptTracker(dispatcher, services, teams, counters)
-        table = SubmissionTable(counters, sink)
-        registry = SubmissionRegistry(table, lease, dispatcher, Admission(lease, services, teams, queuedTasks), counters, sink)
+        table = SubmissionTable(counters, sink, budget)
+        registry = SubmissionRegistry(table, lease, dispatcher, Admission(lease, services, teams, queuedTasks), counters, sink, budget)
         agents.listener = tracker
         agents.demand = services::demand
         tracker.listener = registry
@@ -226,6 +227,7 @@
         advance(now)
         agents.expire(now)
         registry.tick()
+        table.forgetOld()
         dispatcher.runAll()
         agents.wakeForNews()
     }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/EntryMetrics.kt
@@ -13,6 +13,7 @@
     private val core: EntryCore,
     private val clock: Clock,
     registry: PrometheusRegistry,
+    private val budget: MemoryBudget,
 ) : Traffic {
     @Volatile
     private var liveUntil: Duration = Duration.ZERO
@@ -27,6 +28,7 @@
     private val characters = registry.counter("bluebellramp_entry_frame_characters_total", "Characters in frames", "direction")
     private val queued = registry.gauge("bluebellramp_entry_queued_tasks", "Tasks and requests that wait")
     private val open = registry.gauge("bluebellramp_entry_open_submissions", "Submissions without an answer")
+    private val held = registry.gauge("bluebellramp_entry_held_bytes", "Estimated memory of calls, open submissions, log lines and ids")
     private val linked = registry.gauge("bluebellramp_entry_linked_agents", "Agents that are connected")
     private val revision = registry.gauge("bluebellramp_entry_revision", "Revision of the lease")
     private val leaseLeft = registry.gauge("bluebellramp_entry_lease_remaining_seconds", "Time until the lease runs out")
@@ -45,6 +47,7 @@
         )
         queued.set(core.waiting.toDouble())
         open.set(core.openSubmissions.toDouble())
+        held.set(budget.used.toDouble())
         linked.set(core.connectedAgents.toDouble())
         val counters = core.counters
         add(dispatched, "dispatched", null, counters.dispatched)
--- a/entry/src/main/kotlin/io/bluebellramp/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/EntryProgram.kt
@@ -29,6 +29,7 @@
     private val clock: Clock = SystemClock,
     registry: PrometheusRegistry = PrometheusRegistry(),
     policies: PlacementPolicies = DefaultPolicies,
+    budget: MemoryBudget = MemoryBudget(),
 ) : RunningProgram,
     EntryLinks,
     Health {
@@ -43,14 +44,14 @@
             site = settings.site,
             zone = settings.zone,
         )
-    private val core = EntryCore(identity, settings.queuedTasks, policies)
+    private val core = EntryCore(identity, settings.queuedTasks, policies, budget)
     private val shell = EntryShell(core, clock, scope)
-    private val metrics = EntryMetrics(core, clock, registry)
+    private val metrics = EntryMetrics(core, clock, registry, budget)
     private val agents = AgentEndpoint(shell, metrics, scope)
     private val claims = ClaimsClient(http, identity, clock, shell)
     private val peers = PeerClient(http, shell, scope)
     private val leases = LeaseClient(http, settings.controls, clock, shell)
-    private val decisions = DecisionLog(settings.entry)
+    private val decisions = DecisionLog(settings.entry, budget)
     private val callers =
         CallerApi(
             shell = shell,
@@ -58,6 +59,7 @@
             reader = SubmissionReader(clock),
             metrics = CallMetrics(clock, registry),
             bodyBytes = settings.bodyBytes,
+            budget = budget,
             isLeaving = { isLeaving },
         )
     private val server =
--- a/entry/src/main/kotlin/io/bluebellramp/entry/Main.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/Main.kt
@@ -14,5 +14,6 @@
         reader = SettingsReader(type = "EntrySettings", serializer = EntrySettings.serializer()),
         logFolder = { it.logFolder },
         instance = { it.entry },
+        queuesLog = false,
         start = { settings -> EntryProgram(settings).start() },
     )
--- a/entry/src/main/kotlin/io/bluebellramp/entry/NewSubmission.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/NewSubmission.kt
@@ -21,4 +21,14 @@
     val tasks: List<TaskSpecification>,
     val deadlineMillis: Long?,
     val idempotent: Boolean,
-)
+) {
+    /** Memory of the submission and of its attempts while it is open, estimated. */
+    fun bytes(): Long = SUBMISSION_BYTES + tasks.sumOf { TASK_BYTES + it.payload.length }
+
+    private companion object {
+        const val SUBMISSION_BYTES = 1_000L
+
+        /** Memory of one task besides its payload: the objects of the task, of its attempt and of its place in the queue. */
+        const val TASK_BYTES = 500L
+    }
+}
--- a/entry/src/main/kotlin/io/bluebellramp/entry/Submission.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/Submission.kt
@@ -29,7 +29,11 @@
     val new: NewSubmission,
     val arrived: Duration,
     val deadline: Duration,
+    budget: MemoryBudget,
 ) {
+    /** What it holds until it has its answer. */
+    val memory = MemoryBudget.Share(budget).apply { take(new.bytes()) }
+
     val id get() = new.id
     val size get() = new.tasks.size
     var phase = SubmissionPhase.CLAIMING
@@ -63,6 +67,7 @@
         result: String,
     ) {
         results[task] = result
+        memory.take(result.length.toLong())
         done.set(task)
         markStarted(task)
     }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionRegistry.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionRegistry.kt
@@ -18,6 +18,7 @@
     private val admission: Admission,
     private val counters: Counters,
     private val sink: ActionSink,
+    private val budget: MemoryBudget,
 ) : SubmissionListener {
     /** The claims on the submissions. */
     val ownership = Ownership(table, lease, dispatcher, counters, sink, admit = ::admit)
@@ -32,7 +33,7 @@
         val service = lease.service(new.service)
         if (!lease.isLive(table.now) || service == null) return Reply.Refused(ErrorBody(ErrorCode.NOT_READY, NOT_READY))
         val millis = new.deadlineMillis ?: service.deadlineMillis
-        val submission = Submission(new = new, arrived = table.now, deadline = table.now + millis.milliseconds)
+        val submission = Submission(new = new, arrived = table.now, deadline = table.now + millis.milliseconds, budget = budget)
         if (isLeaving) submission.refusal = ErrorBody(ErrorCode.LEAVING, "The entry is shutting down.")
         table.add(submission)
         sink += Action.Claim(new.id, new.digest)
--- a/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionTable.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionTable.kt
@@ -14,13 +14,14 @@
 internal class SubmissionTable(
     private val counters: Counters,
     private val sink: ActionSink,
+    budget: MemoryBudget,
 ) {
     private val submissions = LinkedHashMap<SubmissionId, Submission>()
     private val owners = HashMap<SubmissionId, ClaimHolder>()
 
     /** By deadline. A submission leaves with its answer, so that its payloads are not held until then. */
     private val deadlines = TreeSet<Submission>(compareBy({ it.deadline }, { it.id.value }))
-    private val kept = KeptAnswers(life = KEEP_LIFE)
+    private val kept = KeptAnswers(life = KEEP_LIFE, budget = budget)
 
     /** Submissions whose attempts are being settled. */
     val closing = LinkedHashSet<Submission>()
@@ -42,6 +43,9 @@
     /** The answer that is kept for [id], or null. */
     fun kept(id: SubmissionId): KeptAnswers.Kept? = kept[id]
 
+    /** Forgets the answers whose life is over. */
+    fun forgetOld() = kept.expire(now)
+
     fun add(submission: Submission) {
         submissions[submission.id] = submission
         deadlines += submission
@@ -102,6 +106,7 @@
 
     private fun forget(submission: Submission) {
         submission.phase = SubmissionPhase.ANSWERED
+        submission.memory.close()
         submissions.remove(submission.id)
         owners.remove(submission.id)
         deadlines -= submission
--- /dev/null
+++ b/entry/src/test/kotlin/io/bluebellramp/entry/DecisionLogTest.kt
@@ -0,0 +1,31 @@
+package io.bluebellramp.entry
+
+import io.bluebellramp.core.EntryId
+import io.bluebellramp.core.SubmissionId
+import io.bluebellramp.runtime.Decision
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+
+class DecisionLogTest {
+    private val budget = MemoryBudget(most = 10 * DecisionLog.LINE_BYTES)
+    private val lines = ConcurrentLinkedQueue<Decision>()
+    private val log = DecisionLog(EntryId("e1"), budget, put = lines::add)
+
+    @Test
+    fun `a log that can't keep up drops no line but leaves no memory for new calls`() =
+        runBlocking {
+            val ids = List(20) { SubmissionId("id-$it") }
+            ids.forEach { log.add(Action.LogRouting("admit", "claim granted", it)) }
+            assertNull(budget.admit(1))
+            val writer = launch { log.run() }
+            while (budget.used > 0) delay(1)
+            writer.cancelAndJoin()
+            assertEquals(ids, lines.map { it.fields["submission"] })
+        }
+}
--- a/entry/src/test/kotlin/io/bluebellramp/entry/SubmissionTableTest.kt
+++ b/entry/src/test/kotlin/io/bluebellramp/entry/SubmissionTableTest.kt
@@ -14,7 +14,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 class SubmissionTableTest {
-    private val table = SubmissionTable(Counters(), ActionSink())
+    private val budget = MemoryBudget(most = 10_000)
+    private val table = SubmissionTable(Counters(), ActionSink(), budget)
     private var ids = 0L
 
     private fun submission(deadline: Duration): Submission {
@@ -29,7 +30,7 @@
                 deadlineMillis = null,
                 idempotent = false,
             )
-        return Submission(new, arrived = Duration.ZERO, deadline = deadline).also(table::add)
+        return Submission(new, arrived = Duration.ZERO, deadline = deadline, budget = budget).also(table::add)
     }
 
     @Nested
@@ -53,7 +54,7 @@
             table.refuse(refused, ErrorCode.NOT_READY, "no lease")
             table.now = 9.seconds
             assertNull(table.takeDue())
-            assertEquals(0, table.size)
+            assertEquals(0L to 0, budget.used to table.size)
         }
     }
 }
--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/Logging.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/Logging.kt
@@ -27,15 +27,20 @@
  * Sends the log to [file] as JSON lines, or to the console as text if [file] is null.
  *
  * Call it before any library logs its first line; later it fails. `tinylog.properties` holds the levels.
+ *
+ * @param isQueued true if lines wait in a queue without a bound for a thread that writes them, false if the caller of the log writes them
  */
-fun configureLogging(file: Path?) {
+fun configureLogging(
+    file: Path?,
+    isQueued: Boolean = true,
+) {
     if (file == null) return
     file
         .toAbsolutePath()
         .parent
         ?.toFile()
         ?.mkdirs()
-    Configuration.set("writingthread", "true")
+    Configuration.set("writingthread", isQueued.toString())
     Configuration.set("writer", "json")
     Configuration.set("writer.file", file.toString())
     Configuration.set("writer.format", "LDJSON")
--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/Program.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/Program.kt
@@ -39,6 +39,7 @@
  * @param reader reads the settings
  * @param logFolder tells the folder of the log file from the settings, or null for a log on the console
  * @param instance tells what sets this process apart from others of the same program, for the name of its log file
+ * @param queuesLog false if the program bounds by itself what waits to be logged, see [configureLogging]
  * @param start starts the program and returns once it listens
  */
 fun <T> runServer(
@@ -47,6 +48,7 @@
     reader: SettingsReader<T>,
     logFolder: (T) -> String?,
     instance: (T) -> Any,
+    queuesLog: Boolean = true,
     start: (T) -> RunningProgram,
 ) {
     if ("--version" in args) {
@@ -59,7 +61,7 @@
     parser.option(ArgType.Boolean, fullName = "version", description = "Print the version and exit").default(false)
     parser.parse(args)
     val file = config ?: usageError("$name: --config FILE is required")
-    if (!check) configureLogging(reader.peek(Path.of(file))?.let { logFile(name, logFolder(it), instance(it)) })
+    if (!check) configureLogging(reader.peek(Path.of(file))?.let { logFile(name, logFolder(it), instance(it)) }, queuesLog)
     val settings =
         when (val result = reader.read(Path.of(file))) {
             is SettingsResult.Valid -> result.settings
