--- a/cli/src/test/kotlin/io/bluebellramp/cli/EntryClientTest.kt
+++ b/cli/src/test/kotlin/io/bluebellramp/cli/EntryClientTest.kt
@@ -57,7 +57,7 @@
     inner class `An entry that started nothing and owns nothing` {
         @Test
         fun `is passed over for the next one with the same id`() {
-            for (code in listOf("leaving", "not_ready", "claims_unavailable", "owner_unreachable")) {
+            for (code in listOf("leaving", "queue_full", "not_ready", "claims_unavailable", "owner_unreachable")) {
                 val first = FakeEntry(answer = """{"code":"$code","message":""}""", status = 503)
                 val second = FakeEntry(answer = """{"submission":"$id","outcome":"complete","results":[]}""")
                 listOf(first, second).use {
--- a/entry/src/test/kotlin/io/bluebellramp/entry/BadInputTest.kt
+++ b/entry/src/test/kotlin/io/bluebellramp/entry/BadInputTest.kt
@@ -128,7 +128,7 @@
             Case("body over the limit", " ".repeat(BODY_BYTES + 1), 413, ErrorCode.BODY_TOO_LARGE, "$"),
         )
 
-    private fun test(block: suspend () -> Unit) = local.test(block)
+    private fun test(block: suspend () -> Unit) = local.test { block() }
 
     private fun error(text: String) = WireJson.decodeFromString(ErrorBody.serializer(), text)
 
--- a/entry/src/test/kotlin/io/bluebellramp/entry/EntryProgramTest.kt
+++ b/entry/src/test/kotlin/io/bluebellramp/entry/EntryProgramTest.kt
@@ -61,7 +61,7 @@
         local.stop()
     }
 
-    private fun test(block: suspend () -> Unit) = local.test(block)
+    private fun test(block: suspend () -> Unit) = local.test { block() }
 
     private suspend fun post(
         job: JobSubmission,
--- a/entry/src/test/kotlin/io/bluebellramp/entry/LocalEntry.kt
+++ b/entry/src/test/kotlin/io/bluebellramp/entry/LocalEntry.kt
@@ -10,6 +10,7 @@
 import io.bluebellramp.messages.JobSubmission
 import io.bluebellramp.messages.TaskSpecification
 import io.bluebellramp.runtime.httpLink
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
@@ -22,6 +23,7 @@
 /** Runs entry processes on loopback with one [FakeControl], and ends them all. */
 internal class LocalEntry(
     drainMillis: Long = 0,
+    private val budget: MemoryBudget = MemoryBudget(),
 ) {
     val control = FakeControl()
     val address = freeAddress()
@@ -44,6 +46,7 @@
             drainMillis = drainMillis,
             bodyBytes = BODY_BYTES.toLong(),
         ),
+        budget = budget,
     )
 
     /** Starts one more entry at [address]. */
@@ -53,7 +56,7 @@
     ): EntryProgram = program(name, address).start().also { others += it }
 
     /** Runs [block] once the entry is ready. */
-    fun test(block: suspend () -> Unit) =
+    fun test(block: suspend CoroutineScope.() -> Unit) =
         runBlocking {
             withTimeout(30.seconds) {
                 while (!entry.isReady()) delay(5)
