An entry that ends hands the answers that nobody has fetched to the other entries

Cause: the final answers lived only in the entry that owned the submission. Found by reading the shutdown for the claim that was left behind.

Ruled out: handing over all kept answers (the receivers' own would be pushed out of their bound); asking every entry before a takeover (messages for each resubmission after a crash, where nobody has the answer).

Change: an answer is marked once a caller has the whole response; at the end the unmarked ones go to every live entry in pages of 100, and a receiver keeps them, or gives them to those who follow the submission there. Nothing that a receiver decided is changed.

Test: EntryShutdownTest, asked and sent again at the other entry.

--- a/entry/src/main/kotlin/io/bluebellramp/entry/CallerApi.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/CallerApi.kt
@@ -182,6 +182,7 @@
         val wait = waitMillis()
         val whole = if (wait == null) reply.await() else reply.awaitUpTo(wait.milliseconds)
         if (whole == null) respondPending(progress(id)) else answer(whole)
+        if (whole is Reply.Whole) shell.use { fetched(id) }
         return whole
     }
 
--- a/entry/src/main/kotlin/io/bluebellramp/entry/EntryCore.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/EntryCore.kt
@@ -4,6 +4,7 @@
 import io.bluebellramp.messages.AgentFrame
 import io.bluebellramp.messages.EntryFrame
 import io.bluebellramp.messages.ErrorBody
+import io.bluebellramp.messages.KeptAnswer
 import io.bluebellramp.messages.LeaseRequest
 import io.bluebellramp.messages.LeaseResponse
 import io.bluebellramp.messages.PendingBody
@@ -99,6 +100,21 @@
         return PendingBody(submission = id, tasks = submission.size, tasksDone = submission.doneTasks)
     }
 
+    /** Notes that a caller has the whole answer to [id]. */
+    fun fetched(id: SubmissionId) = table.fetched(id)
+
+    /** Returns the final answers that no caller has fetched. */
+    fun unfetched(): List<KeptAnswer> = table.unfetched()
+
+    /** Takes final answers from an entry that ends. */
+    fun adopt(
+        answers: List<KeptAnswer>,
+        now: Duration,
+    ) {
+        advance(now)
+        answers.forEach(table::adopt)
+    }
+
     /** Gives up a claim on [id] unless this entry knows the id. */
     fun releaseUnknown(id: SubmissionId) = registry.releaseUnknown(id)
 
--- a/entry/src/main/kotlin/io/bluebellramp/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/EntryProgram.kt
@@ -95,6 +95,7 @@
             while (!shell.use { isIdle }) delay(IDLE_POLL)
             withTimeoutOrNull(STOP_TIMEOUT) { while (!callers.isIdle) delay(IDLE_POLL) }
             delay(LAST_RESPONSES)
+            withTimeoutOrNull(STOP_TIMEOUT) { peers.handOver() }
             leasing?.cancel()
             leases.leave()
             server.stop(gracePeriodMillis = LAST_RESPONSES.inWholeMilliseconds, timeoutMillis = STOP_TIMEOUT.inWholeMilliseconds)
--- a/entry/src/main/kotlin/io/bluebellramp/entry/KeptAnswers.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/KeptAnswers.kt
@@ -25,7 +25,9 @@
         val kept: Kept,
         val added: Duration,
         val bytes: Long,
-    )
+    ) {
+        var isFetched = false
+    }
 
     private val whole = LinkedHashMap<SubmissionId, Whole>()
     private val remembered = RememberedAnswers(life, budget)
@@ -49,6 +51,14 @@
         while (bytes > maxBytes && whole.size > 1) removeOldest().let { remembered.add(it.kept, it.added) }
     }
 
+    /** Notes that a caller has the whole answer to [id]. */
+    fun fetched(id: SubmissionId) {
+        whole[id]?.isFetched = true
+    }
+
+    /** Returns the answers that are kept whole and that no caller has. */
+    fun unfetched(): List<Kept> = whole.values.filter { !it.isFetched }.map { it.kept }
+
     /** Forgets what is older than its life. */
     fun expire(now: Duration) {
         remembered.expire(now)
--- a/entry/src/main/kotlin/io/bluebellramp/entry/PeerClient.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/PeerClient.kt
@@ -2,6 +2,7 @@
 
 import io.bluebellramp.core.SubmissionId
 import io.bluebellramp.messages.Answer
+import io.bluebellramp.messages.AnswerHandover
 import io.bluebellramp.messages.ClaimHolder
 import io.bluebellramp.messages.EntryPeer
 import io.bluebellramp.messages.PendingBody
@@ -9,7 +10,10 @@
 import io.ktor.client.call.body
 import io.ktor.client.request.get
 import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.http.ContentType
 import io.ktor.http.HttpStatusCode
+import io.ktor.http.contentType
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
@@ -75,6 +79,19 @@
             }
         }
 
+    /** Gives the answers that no caller has fetched to every live entry, so that a caller who asks there later gets them. */
+    suspend fun handOver() {
+        for (page in shell.use { unfetched() }.chunked(HANDOVER_PAGE)) {
+            atEveryPeer { peer ->
+                http.post("http://${peer.address}/peers/answers") {
+                    contentType(ContentType.Application.Json)
+                    setBody(AnswerHandover(page))
+                }
+                PeerSearch.Found
+            }
+        }
+    }
+
     private suspend fun atEveryPeer(
         time: Duration = CALL_TIMEOUT,
         call: suspend (EntryPeer) -> PeerSearch,
@@ -90,6 +107,9 @@
 
     private companion object {
         const val WAIT_MILLIS = 1_000L
+
+        /** Answers in one message of a handover. */
+        const val HANDOVER_PAGE = 100
         val CALL_TIMEOUT = 1_500.milliseconds
         val RETRY = 50.milliseconds
     }
--- a/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionTable.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/SubmissionTable.kt
@@ -6,6 +6,7 @@
 import io.bluebellramp.messages.ClaimHolder
 import io.bluebellramp.messages.ErrorBody
 import io.bluebellramp.messages.ErrorCode
+import io.bluebellramp.messages.KeptAnswer
 import java.util.TreeSet
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
@@ -92,6 +93,21 @@
         sink += Action.Deliver(submission.id, Reply.Whole(answer))
     }
 
+    /** Notes that a caller has the whole answer to [id]. */
+    fun fetched(id: SubmissionId) = kept.fetched(id)
+
+    /** Returns the final answers that no caller has. */
+    fun unfetched(): List<KeptAnswer> = kept.unfetched().map { KeptAnswer(digest = it.digest, answer = it.answer) }
+
+    /** Keeps the final answer of another entry that ends, and gives it to those who wait for it here. */
+    fun adopt(adopted: KeptAnswer) {
+        val id = adopted.answer.submission
+        if (kept[id] != null) return
+        val submission = submissions[id] ?: return kept.add(adopted.digest, adopted.answer, now)
+        val isFollowing = submission.phase == SubmissionPhase.FOLLOWING && !submission.isTakingOver
+        if (isFollowing && submission.new.digest == adopted.digest) deliver(submission, adopted.answer)
+    }
+
     /** Refuses a submission of which this entry started nothing and that it does not own. */
     fun refuse(
         submission: Submission,
--- a/entry/src/test/kotlin/io/bluebellramp/entry/EntryShutdownTest.kt
+++ b/entry/src/test/kotlin/io/bluebellramp/entry/EntryShutdownTest.kt
@@ -2,7 +2,13 @@
 
 import io.bluebellramp.core.SubmissionId
 import io.bluebellramp.core.WireJson
+import io.bluebellramp.messages.Answer
+import io.bluebellramp.messages.AnswerOutcome
 import io.bluebellramp.messages.JobSubmission
+import io.ktor.client.request.get
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.bodyAsText
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
@@ -67,6 +73,28 @@
             }
     }
 
+    @Nested
+    inner class `An answer that no caller has fetched when its entry ends` {
+        @Test
+        fun `is known to another entry, for a caller who asks and for one who sends the same id again`() =
+            local.test {
+                val other = freeAddress()
+                val second = local.another("e2", other)
+                while (!second.isReady() || local.control.peers.size < 2) delay(5)
+                val body = WireJson.encodeToString(JobSubmission.serializer(), job())
+                val id = WireJson.decodeFromString(JobSubmission.serializer(), body).submission
+                local.http.post("http://$address/v1/jobs?wait=0") { setBody(body) }
+                local.stopEntry()
+                val asked = local.http.get("http://$other/v1/jobs/$id?wait=0")
+                val again = local.http.post("http://$other/v1/jobs") { setBody(body) }
+                for (response in listOf(asked, again)) {
+                    val answer = WireJson.decodeFromString(Answer.serializer(), response.bodyAsText())
+                    assertEquals(AnswerOutcome.COMPLETE to 3, answer.outcome to answer.results?.size)
+                }
+                assertEquals(3, agent.frames.sumOf { it.dispatches.size }, "dispatches")
+            }
+    }
+
     private companion object {
         const val CALLERS = 4
     }
--- a/entry/src/test/kotlin/io/bluebellramp/entry/KeptAnswersTest.kt
+++ b/entry/src/test/kotlin/io/bluebellramp/entry/KeptAnswersTest.kt
@@ -67,6 +67,13 @@
             assertEquals(0L, budget.used)
         }
 
+        @Test
+        fun `are unfetched until a caller has them`() {
+            ids.take(2).forEach { add(it, Duration.ZERO) }
+            kept.fetched(ids[0])
+            assertEquals(listOf(ids[1]), kept.unfetched().map { it.answer.submission })
+        }
+
         @Test
         fun `count what a result takes besides its text`() {
             ids.take(2).forEach { add(it, Duration.ZERO) }
--- /dev/null
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/KeptAnswer.kt
@@ -0,0 +1,11 @@
+package io.bluebellramp.messages
+
+import kotlinx.serialization.Serializable
+
+/** A final answer and the body that it belongs to. */
+@Serializable
+data class KeptAnswer(
+    /** Digest of the body of the submission. */
+    val digest: String,
+    val answer: Answer,
+)
