An answer that waits for no write leaves without the thread of the disk

Cause: idle processor time. Each answer to a heartbeat went to the disk's thread, which had nothing to write, and woke the core a second time.

Ruled out: letting answers without writes pass always. They may rest on earlier writes: with that check taken out, "a slow disk holds back every answer until what was decided before it is durable" fails (a vote of term 5 is answered before term 5 is durable).

Change: an output without writes is done at once if the disk has finished all earlier outputs.

--- a/replication/src/main/kotlin/io/bluebellramp/replication/LogMember.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/LogMember.kt
@@ -26,6 +26,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -75,6 +76,9 @@
     private val outputs = Channel<Output>(Channel.UNLIMITED)
     private val numbers = AtomicLong()
     private val isClosed = AtomicBoolean()
+
+    /** Outputs that the disk has not finished. */
+    private val unfinished = AtomicInteger()
     private val calls = ConcurrentHashMap<Long, CompletableDeferred<PeerResponse>>()
     private val proposals = ConcurrentHashMap<Long, CompletableDeferred<ProposalResult>>()
 
@@ -187,10 +191,17 @@
             due = core.due
             status = core.status()
             output.atOnce.forEach(::perform)
-            if (!output.isEmpty) outputs.trySend(output)
+            if (!output.isEmpty) complete(output)
         }
     }
 
+    /** What waits for no write is done at once, without a way through the thread of the disk. */
+    private fun complete(output: Output) {
+        if (output.writes.isEmpty() && unfinished.get() == 0) return output.afterSync.forEach(::perform)
+        unfinished.incrementAndGet()
+        outputs.trySend(output)
+    }
+
     /** Makes outputs durable, all waiting ones with as few syncs as possible, and then performs what waited for it. */
     private suspend fun persist() {
         for (first in outputs) {
@@ -201,6 +212,7 @@
             if (error != null) return fail(error)
             inputs.trySend { it.onSynced(batch.last().number) }
             batch.forEach { output -> output.afterSync.forEach(::perform) }
+            unfinished.addAndGet(-batch.size)
         }
     }
 
--- a/replication/src/test/kotlin/io/bluebellramp/replication/LogMemberTest.kt
+++ b/replication/src/test/kotlin/io/bluebellramp/replication/LogMemberTest.kt
@@ -2,21 +2,28 @@
 
 import io.bluebellramp.core.MemberId
 import io.bluebellramp.core.SystemClock
+import io.bluebellramp.messages.Membership
 import io.bluebellramp.messages.MembershipAction
 import io.bluebellramp.messages.MembershipRequest
 import io.bluebellramp.messages.RecordKind
+import io.bluebellramp.messages.VoteRequest
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.io.TempDir
 import java.nio.file.Path
+import java.util.concurrent.CountDownLatch
 import kotlin.io.path.ExperimentalPathApi
 import kotlin.io.path.deleteRecursively
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlin.test.assertNull
 import kotlin.test.assertTrue
 
 class LogMemberTest {
@@ -175,4 +182,55 @@
                 member.close()
             }
     }
+
+    @Nested
+    inner class `a slow disk` {
+        private inner class GatedStorage : LogStorage {
+            val isBusy = CompletableDeferred<Unit>()
+            val gate = CountDownLatch(1)
+            private val members = Membership(1, listOf("a", "b", "c").map(::address), emptyList(), emptyList())
+            private val vote = VoteState(MemberId("a"), 1, null, FoundingStage.ACTIVE)
+
+            override fun open(member: MemberId) = StorageOpening.Opened(StoredState(vote, StoredSnapshot(3, 1, members, ""), emptyList()))
+
+            override fun persist(writes: List<StorageWrite>): StorageError? {
+                if (writes.isNotEmpty()) {
+                    isBusy.complete(Unit)
+                    gate.await()
+                }
+                return null
+            }
+
+            override fun close() = Unit
+        }
+
+        @Test
+        fun `holds back every answer until what was decided before it is durable`() =
+            runBlocking {
+                val storage = GatedStorage()
+                val settings = LogSettings(electionMillis = 100, heartbeatMillis = 20)
+                val member =
+                    LogMember(
+                        address("a"),
+                        emptyList(),
+                        false,
+                        storage,
+                        ListMachine(),
+                        cluster,
+                        SystemClock,
+                        settings,
+                        object : LogListener {},
+                    )
+                member.start()
+                delay(settings.election)
+                val answers =
+                    listOf("b", "c").map { candidate ->
+                        async { member.onVote(VoteRequest(5, MemberId(candidate), 3, 1, preVote = false)) }.also { storage.isBusy.await() }
+                    }
+                assertNull(withTimeoutOrNull(settings.election) { answers.last().await() })
+                storage.gate.countDown()
+                assertEquals(listOf(true, false), answers.awaitAll().map { it.granted })
+                member.close()
+            }
+    }
 }
