Elections are logged as they happen, and not found by looking 50 times a second

Cause: idle processor time. A watch woke every 20 ms to compare roles; samples of the processor missed it, since waking costs more than looking. The check for missing claims woke 10 times a second.

Change: the log tells its listener when role or leader changes. A member that lacks no claims looks twice a second whether members changed.

--- a/control/src/main/kotlin/io/bluebellramp/control/ControlProgram.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ControlProgram.kt
@@ -2,11 +2,9 @@
 
 import io.bluebellramp.messages.ControlSettings
 import io.bluebellramp.messages.MemberAddress
-import io.bluebellramp.runtime.Decision
 import io.bluebellramp.runtime.RunningProgram
 import io.bluebellramp.runtime.SharedKey
 import io.bluebellramp.runtime.httpServer
-import io.bluebellramp.runtime.logDecision
 import io.ktor.client.HttpClient
 import io.ktor.client.call.body
 import io.ktor.client.request.get
@@ -25,7 +23,7 @@
 import io.bluebellramp.messages.ClaimTable as ClaimCopy
 
 /**
- * A control process that listens: HTTP server, links to the other members, and the watch over elections and claims.
+ * A control process that listens: HTTP server, links to the other members, and copies of claims.
  *
  * @param closeLog stops the log and syncs it; called once nothing else uses it
  */
@@ -48,7 +46,6 @@
     /** Starts to listen. */
     fun start() {
         server.start(wait = false)
-        scope.launch { watchElections() }
         scope.launch { control.leases.noteRevisions() }
         scope.launch { copyClaims() }
     }
@@ -60,22 +57,9 @@
         client.close()
     }
 
-    private suspend fun watchElections() {
-        var last = control.log.status()
-        while (scope.isActive) {
-            delay(WATCH_PERIOD)
-            val status = control.log.status()
-            if (status.role != last.role || status.leader != last.leader) {
-                val leader = status.leader?.member ?: "none"
-                logDecision(Decision(kind = "election", reason = "term ${status.term}: ${status.role.name.lowercase()}, leader $leader"))
-            }
-            last = status
-        }
-    }
-
     private suspend fun copyClaims() {
         while (scope.isActive) {
-            delay(COPY_PERIOD)
+            delay(if (control.claims.isWhole()) WATCH_PERIOD else COPY_PERIOD)
             control.claims.copyMissing(::fetch)
         }
     }
@@ -98,7 +82,9 @@
     private companion object {
         /** Longest time of a forwarded call; a little over the longest wait until a change is in force. */
         val CALL_TIMEOUT = 5.seconds
-        val WATCH_PERIOD = 20.milliseconds
+
+        /** How often a member that lacks no claims looks whether the members have changed. */
+        val WATCH_PERIOD = 500.milliseconds
         val COPY_PERIOD = 100.milliseconds
     }
 }
--- a/control/src/main/kotlin/io/bluebellramp/control/Main.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/Main.kt
@@ -8,10 +8,13 @@
 import io.bluebellramp.replication.LogMember
 import io.bluebellramp.replication.LogSettings
 import io.bluebellramp.replication.LogStart
+import io.bluebellramp.replication.LogStatus
 import io.bluebellramp.replication.StorageError
+import io.bluebellramp.runtime.Decision
 import io.bluebellramp.runtime.RunningProgram
 import io.bluebellramp.runtime.SettingsReader
 import io.bluebellramp.runtime.SharedKey
+import io.bluebellramp.runtime.logDecision
 import io.bluebellramp.runtime.runServer
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
@@ -67,12 +70,12 @@
         transport = HttpLogTransport(client),
         clock = SystemClock,
         settings = LogSettings(settings.electionMillis, settings.heartbeatMillis, settings.snapshotRecords),
-        listener = SyncListener(settings.member, registry),
+        listener = ControlListener(settings.member, registry),
     )
 }
 
-/** Measures the syncs of the log and reports a failed disk. */
-private class SyncListener(
+/** Measures the syncs of the log, and logs elections and a failed disk. */
+private class ControlListener(
     private val member: MemberId,
     registry: PrometheusRegistry,
 ) : LogListener {
@@ -86,6 +89,11 @@
 
     override fun onSync(nanos: Long) = syncs.observe(nanos / NANOS_PER_SECOND)
 
+    override fun onLeadership(status: LogStatus) {
+        val leader = status.leader?.member ?: "none"
+        logDecision(Decision(kind = "election", reason = "term ${status.term}: ${status.role.name.lowercase()}, leader $leader"))
+    }
+
     override fun onStorageFailure(error: StorageError) = Logger.error("The log of $member has stopped: $error")
 
     private companion object {
--- a/replication/src/main/kotlin/io/bluebellramp/replication/LogMember.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/LogMember.kt
@@ -189,12 +189,18 @@
             val output = core.take(clock.monotonic())
             leaseEnd = core.leaseEnd(clock.monotonic())
             due = core.due
-            status = core.status()
+            note(core.status())
             output.atOnce.forEach(::perform)
             if (!output.isEmpty) complete(output)
         }
     }
 
+    private fun note(next: LogStatus) {
+        val isNews = next.role != status.role || next.leader != status.leader
+        status = next
+        if (isNews) listener.onLeadership(next)
+    }
+
     /** What waits for no write is done at once, without a way through the thread of the disk. */
     private fun complete(output: Output) {
         if (output.writes.isEmpty() && unfinished.get() == 0) return output.afterSync.forEach(::perform)
