Calls between controls are bounded by the engine's own time limit

Cause: idle processor time. The client's time limit starts a coroutine and a timer for each heartbeat.

Change: the engine bounds the whole call. What the caller sees is the same: no answer.

--- a/control/src/main/kotlin/io/bluebellramp/control/BoundLink.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/BoundLink.kt
@@ -15,6 +15,7 @@
 import javax.net.SocketFactory
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.toJavaDuration
 
 /** Open calls of one link; far above what the log, forwarded calls and copies need. */
 private const val MOST_CALLS = 1024
@@ -51,12 +52,14 @@
                         maxRequestsPerHost = MOST_CALLS
                     },
                 )
+                // The client's own time limit starts a coroutine and a timer for each request.
+                timeout?.let { callTimeout(it.toJavaDuration()) }
                 // The time limit of the whole request bounds these.
                 readTimeout(0, TimeUnit.MILLISECONDS)
                 writeTimeout(0, TimeUnit.MILLISECONDS)
             }
         }
-        configureLink(key, connectTimeout, timeout)
+        configureLink(key, connectTimeout, timeout = null)
     }
 
 /** Makes sockets that are bound to [local]. */
