Every call to a control has a bound on its body

Cause: leases, claims, releases and the log's messages were read whatever their size; only operators' calls had a bound. Headers and time of arrival were bounded already by the server of all programs, which a test now holds for a control's routes too.

Change: the entry's reader of bodies moves to runtime and reads those of control too: 64 KiB for a lease or vote, 1 MiB for claims, 4 MiB for an operator, 16 MiB for records (the largest change with each character escaped fits, by test). Calls of processes are decoded and answered as text, without content negotiation.

A first form of the test sent one byte too many and stalled; such a call is still refused by the time limit, so the test sends twice the bound.

--- a/control/src/main/kotlin/io/bluebellramp/control/OperatorRoutes.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/OperatorRoutes.kt
@@ -50,18 +50,15 @@
     serializer: KSerializer<T>,
     handle: suspend (T, ByteArray) -> Unit,
 ) {
-    val body = receiveBounded()
-    if (body == null) {
-        respondError(HttpStatusCode.PayloadTooLarge, ErrorCode.BODY_TOO_LARGE, "The body is larger than $MAX_BODY_BYTES bytes.")
-        return
-    }
+    val text = receiveText(MAX_BODY_BYTES) ?: return
+    val body = text.toByteArray()
     if (!control.log.holdsMajority()) return forwarder.forward(this, body)
-    when (val result = decodeStrictly(body.decodeToString(), type, serializer)) {
-        is BodyResult.Valid -> {
+    when (val result = decodeStrictly(text, type, serializer)) {
+        is DecodedBody.Valid -> {
             handle(result.value, body)
         }
 
-        is BodyResult.Invalid -> {
+        is DecodedBody.Invalid -> {
             respondError(HttpStatusCode.BadRequest, ErrorCode.INVALID_BODY, "The body is not a $type.", result.violations)
         }
     }
--- a/control/src/main/kotlin/io/bluebellramp/control/ProcessRoutes.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/ProcessRoutes.kt
@@ -9,7 +9,6 @@
 import io.bluebellramp.runtime.Decision
 import io.bluebellramp.runtime.logDecision
 import io.ktor.http.HttpStatusCode
-import io.ktor.server.request.receive
 import io.ktor.server.response.respond
 import io.ktor.server.routing.Route
 import io.ktor.server.routing.RoutingContext
@@ -18,9 +17,8 @@
 
 /** Calls of entries: leases and claims. */
 internal fun Route.entryRoutes(control: Control) {
-    post("/leases") { call.respond(control.leases.answer(call.receive<LeaseRequest>())) }
-    post("/claims") {
-        val request = call.receive<ClaimRequest>()
+    postJson<LeaseRequest>("/leases", SMALL_BODY_BYTES) { call.respondJson(control.leases.answer(it)) }
+    postJson<ClaimRequest>("/claims", CLAIMS_BODY_BYTES) { request ->
         val response = control.claims.claim(request)
         request.claims
             .zip(response.verdicts)
@@ -30,19 +28,19 @@
                 val fields = mapOf("submission" to claim.submission, "entry" to request.holder.entry)
                 logDecision(Decision(kind = "claim_takeover", reason = "owner ${claim.takeover} is gone", fields = fields))
             }
-        call.respond(response)
+        call.respondJson(response)
     }
-    post("/claims/release") {
-        control.claims.release(call.receive<ClaimRelease>())
+    postJson<ClaimRelease>("/claims/release", CLAIMS_BODY_BYTES) {
+        control.claims.release(it)
         call.respond(HttpStatusCode.NoContent)
     }
 }
 
 /** Calls of other members: the log and copies of claims. */
 internal fun Route.memberRoutes(control: Control) {
-    post("/log/vote") { call.respond(control.log.onVote(call.receive<VoteRequest>())) }
-    post("/log/append") { call.respond(control.log.onAppend(call.receive<AppendRequest>())) }
-    post("/log/snapshot") { call.respond(control.log.onSnapshot(call.receive<SnapshotRequest>())) }
+    postJson<VoteRequest>("/log/vote", SMALL_BODY_BYTES) { call.respondJson(control.log.onVote(it)) }
+    postJson<AppendRequest>("/log/append", LOG_BODY_BYTES) { call.respondJson(control.log.onAppend(it)) }
+    postJson<SnapshotRequest>("/log/snapshot", LOG_BODY_BYTES) { call.respondJson(control.log.onSnapshot(it)) }
     get("/claims/table") {
         call.respond(
             control.claims.copy(
@@ -53,6 +51,13 @@
     }
 }
 
+/** Adds a call with a body of [limit] bytes at most. */
+private inline fun <reified T> Route.postJson(
+    path: String,
+    limit: Long,
+    crossinline handle: suspend RoutingContext.(T) -> Unit,
+) = post(path) { call.receiveJson<T>(limit)?.let { handle(it) } }
+
 private fun RoutingContext.copyNeed(): CopyNeed {
     val name = call.request.queryParameters["need"]
     return CopyNeed.entries.find { it.name.equals(name, ignoreCase = true) } ?: CopyNeed.WHOLE
--- a/entry/src/main/kotlin/io/bluebellramp/entry/CallerApi.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/CallerApi.kt
@@ -8,6 +8,8 @@
 import io.bluebellramp.messages.ErrorCode
 import io.bluebellramp.messages.PendingBody
 import io.bluebellramp.messages.Violation
+import io.bluebellramp.runtime.BodyResult
+import io.bluebellramp.runtime.readBody
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
--- a/entry/src/main/kotlin/io/bluebellramp/entry/RequestBody.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/RequestBody.kt
@@ -1,4 +1,4 @@
-package io.bluebellramp.entry
+package io.bluebellramp.runtime
 
 import io.ktor.http.HttpHeaders
 import io.ktor.server.application.ApplicationCall
@@ -12,7 +12,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** What came of reading the bytes of a body. */
-internal sealed interface BodyResult {
+sealed interface BodyResult {
     /** All bytes came. */
     data class Whole(
         val text: String,
@@ -28,7 +28,7 @@
 private val BODY_TIMEOUT = 10.seconds
 
 /** Reads the body whole, up to [limit] bytes. */
-internal suspend fun ApplicationCall.readBody(limit: Long): BodyResult {
+suspend fun ApplicationCall.readBody(limit: Long): BodyResult {
     val declared = request.headers[HttpHeaders.ContentLength]?.toLongOrNull()
     if (declared != null && declared > limit) return BodyResult.TooLarge
     val bytes =
