A heartbeat every 125 ms, and the figures of a control at rest

Cause: idle processor time; each heartbeat is a call to each follower, 25 a second.

Ruled out: more than a third of the election time, which the settings refuse, since two lost heartbeats would then start an election.

Change: the default is 125 ms in place of 80, in schema, settings and seeded histories.

--- a/messages/src/main/kotlin/io/bluebellramp/messages/ControlSettings.kt
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/ControlSettings.kt
@@ -25,7 +25,7 @@
     /** Shortest time without a leader before an election (ms). */
     val electionMillis: Long = 400,
     /** Time between heartbeats of the leader (ms). */
-    val heartbeatMillis: Long = 80,
+    val heartbeatMillis: Long = 125,
     /** Records in the log that trigger a snapshot. */
     val snapshotRecords: Int = 2000,
     /** Claims that the process holds at most. Beyond that it grants no new submission. */
--- a/replication/src/main/kotlin/io/bluebellramp/replication/LogSettings.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/LogSettings.kt
@@ -13,7 +13,7 @@
  */
 data class LogSettings(
     val electionMillis: Long = 400,
-    val heartbeatMillis: Long = 80,
+    val heartbeatMillis: Long = 125,
     val snapshotRecords: Int = 2000,
     val snapshotPart: Int = 65_536,
 ) {
--- a/replication/src/test/kotlin/io/bluebellramp/replication/FakeCluster.kt
+++ b/replication/src/test/kotlin/io/bluebellramp/replication/FakeCluster.kt
@@ -44,7 +44,7 @@
     )
 
     val checker = HistoryChecker()
-    private val settings = LogSettings(electionMillis = 400, heartbeatMillis = 80, snapshotRecords = 15, snapshotPart = 100)
+    private val settings = LogSettings(electionMillis = 400, heartbeatMillis = 125, snapshotRecords = 15, snapshotPart = 100)
     private val events = PriorityQueue(compareBy<Event> { it.at }.thenBy { it.order })
     private val founding = (0 until founders).map { address(('a' + it).toString()) }
     private var order = 0L
