The bench skips entries that are not ready, as a balancer does

Cause: with an entry killed, 2 jobs stayed without an answer, because each resubmission went to the next entry in turn, the dead one included, until the 3 tries were used up. Ruled out: the entries, which answered each resubmission that reached them.

Change: the bench asks every entry for /ready each 200 ms and calls in turn those that are ready; all of them while none is. scripts/measure-zone.sh takes FAULT:SECONDS, so that runs of different length share one start of the system.

--- a/bench/src/main/kotlin/io/bluebellramp/bench/EntryCalls.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/EntryCalls.kt
@@ -13,10 +13,16 @@
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.bodyAsText
 import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
 import io.ktor.http.contentType
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.serialization.SerializationException
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.milliseconds
 
 /** What came of a call to an entry. */
 internal sealed interface CallResult {
@@ -36,13 +42,32 @@
     ) : CallResult
 }
 
-/** Calls the entries in turn, as a balancer does. */
+/** Calls the entries in turn and skips those that are not ready, as a balancer does. */
 internal class EntryCalls(
     private val entries: List<String>,
 ) : AutoCloseable {
     private val client = httpLink()
+    private val readinessClient = httpLink(connectTimeout = READINESS_TIMEOUT, timeout = READINESS_TIMEOUT)
     private val turn = AtomicInteger()
 
+    @Volatile
+    private var ready = entries
+
+    /** Checks the entries again and again until it is cancelled. */
+    suspend fun watch() {
+        while (true) {
+            checkReadiness()
+            delay(READINESS_PERIOD)
+        }
+    }
+
+    /** Asks each entry whether it is ready. While none is, all are called. */
+    suspend fun checkReadiness() =
+        coroutineScope {
+            val answers = entries.map { entry -> async { entry.takeIf { isReady(it) } } }.awaitAll()
+            ready = answers.filterNotNull().ifEmpty { entries }
+        }
+
     suspend fun submit(job: JobSubmission): CallResult = answer { client.post("${next()}/v1/jobs") { json(job) } }
 
     suspend fun submit(request: RequestSubmission): CallResult = answer { client.post("${next()}/v1/requests") { json(request) } }
@@ -59,14 +84,26 @@
             null
         }
 
-    override fun close() = client.close()
+    override fun close() {
+        client.close()
+        readinessClient.close()
+    }
+
+    private suspend fun isReady(entry: String): Boolean =
+        try {
+            readinessClient.get("$entry/ready").status == HttpStatusCode.OK
+        } catch (e: CancellationException) {
+            throw e
+        } catch (_: Exception) {
+            false
+        }
 
     private inline fun <reified T> io.ktor.client.request.HttpRequestBuilder.json(body: T) {
         contentType(ContentType.Application.Json)
         setBody(WireJson.encodeToString(body))
     }
 
-    private fun next(): String = entries[Math.floorMod(turn.getAndIncrement(), entries.size)]
+    private fun next(): String = ready.let { it[Math.floorMod(turn.getAndIncrement(), it.size)] }
 
     private suspend fun answer(call: suspend () -> HttpResponse): CallResult =
         try {
@@ -97,4 +134,9 @@
         } catch (_: SerializationException) {
             CallResult.Broken("status $status")
         }
+
+    private companion object {
+        val READINESS_PERIOD = 200.milliseconds
+        val READINESS_TIMEOUT = 500.milliseconds
+    }
 }
--- a/bench/src/main/kotlin/io/bluebellramp/bench/LoadRun.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/LoadRun.kt
@@ -39,15 +39,22 @@
         val wallStart = clock.wall()
         started = clock.monotonic() + LEAD
         coroutineScope {
-            launch { sendJobs() }
-            launch { sendRequests() }
-            settings.cancels.at.forEach { at -> launch { cancelWave(at) } }
+            val watch = launch { calls.watch() }
+            sendAll()
+            watch.cancel()
         }
         return records.report(startedAt = wallStart.plusMillis(LEAD.inWholeMilliseconds), before = before, after = scrape())
     }
 
     override fun close() = calls.close()
 
+    private suspend fun sendAll() =
+        coroutineScope {
+            launch { sendJobs() }
+            launch { sendRequests() }
+            settings.cancels.at.forEach { at -> launch { cancelWave(at) } }
+        }
+
     private fun now(): Duration = clock.monotonic() - started
 
     private suspend fun waitUntil(at: Duration) = delay(at - now())
--- a/scripts/measure-zone.sh
+++ b/scripts/measure-zone.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Measures a load on separate local processes while a zone leaves and returns, or under another fault. Prints the bench's reports.
-# Usage: scripts/measure-zone.sh FAULT..., one run for each on the same processes:
+# Usage: scripts/measure-zone.sh FAULT[:SECONDS]..., one run for each on the same processes, of LENGTH if no time is given:
 #   none            no fault, no zone change
 #   zone            the zone ZONE_NUMBER (default 2) is out from OUT_AT to IN_AT (s)
 #   zone-leader     the same, and the leader of the controls is killed at both changes
@@ -142,7 +142,10 @@
 wait_for 90 agents_ready "$CLUSTER_AGENTS"
 for ((n = 1; n <= CLUSTER_AGENTS; n++)); do touch "$CLUSTER_FOLDER/starts/target-$n.txt"; done
 bench_load --load 0.5 --seconds "$WARM_UP" --seed 99 >/dev/null || true
-for fault in "${@:-zone}"; do
+default_length=$LENGTH
+for run in "${@:-zone}"; do
+  fault=${run%%:*} LENGTH=$default_length
+  [ "$fault" = "$run" ] || LENGTH=${run#*:}
   case "$fault" in
     failing) faulty_target --fail-millis 10 ;;
     slow) faulty_target --slow-factor 5 ;;
