--- a/entry/src/main/kotlin/io/bluebellramp/entry/PeerApi.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/PeerApi.kt
@@ -5,6 +5,8 @@
 import io.bluebellramp.messages.Answer
 import io.bluebellramp.messages.AnswerHandover
 import io.bluebellramp.messages.PendingBody
+import io.bluebellramp.runtime.BodyResult
+import io.bluebellramp.runtime.readBody
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.response.respond
