A call without room is refused with not_ready, after which the same id is sent again

Cause: operators and callers read queue_full as not run under this id, so send a new one; another entry may own the id. The command line client sends the same id again only after not_ready.

--- a/entry/src/main/kotlin/io/bluebellramp/entry/CallerApi.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/CallerApi.kt
@@ -46,7 +46,7 @@
  * | 422 | `ErrorBody` | no executor can ever run it |
  * | 429 | `Answer`, `not_run` | the quota of the team is used up |
  * | 503 | `Answer`, `not_run` | the queue is full, the deadline can't be met or the entry is leaving |
- * | 503 | `ErrorBody` | no lease, no majority for the claim, the owner does not answer, or the memory for calls is used up (`queue_full`) |
+ * | 503 | `ErrorBody` | no lease, no majority for the claim, the owner does not answer, or no memory for calls (`not_ready`) |
  */
 internal class CallerApi(
     private val shell: EntryShell,
@@ -212,7 +212,7 @@
         /** How long one question to the other entries waits for an answer. */
         val PEER_WAIT = 1.seconds
         val SHARE = AttributeKey<MemoryBudget.Share>("memory")
-        val NO_ROOM = ErrorBody(ErrorCode.QUEUE_FULL, "This entry has no memory for more calls. It started nothing of this one.")
+        val NO_ROOM = ErrorBody(ErrorCode.NOT_READY, "This entry has no memory for more calls. It started nothing. Send the same id again.")
 
         /** Memory of a call besides its bodies, with its connection. */
         const val CALL_BYTES = 16L * 1024
