--- a/cli/src/main/kotlin/io/bluebellramp/cli/EntryClient.kt
+++ b/cli/src/main/kotlin/io/bluebellramp/cli/EntryClient.kt
@@ -120,7 +120,6 @@
             setOf(
                 ErrorCode.NOT_READY,
                 ErrorCode.LEAVING,
-                ErrorCode.QUEUE_FULL,
                 ErrorCode.CLAIMS_UNAVAILABLE,
                 ErrorCode.OWNER_UNREACHABLE,
             )
