--- a/scripts/measure-response.sh
+++ b/scripts/measure-response.sh
@@ -3,7 +3,7 @@
 # Usage: scripts/measure-response.sh STEP..., one after another on the same processes:
 #   requests   REQUESTS a second (default 30) of REQUEST_MILLIS (default 50), and hardly any jobs
 #   LOAD       jobs of the bench at this share of all slots, such as 0.8
-# Inputs: the CLUSTER_ variables of cluster.sh, COMPILERS (first, default, or all), WARM_UP, LENGTH and DROP (s): how long to load before the
+# Inputs: the CLUSTER_ variables of cluster.sh, COMPILERS (first, default, or all), MORE_OPTIONS of the JVM, WARM_UP, LENGTH and DROP (s): how long to load before the
 # steps, how long a step is and how much of its begin does not count, since the load tool itself is cold then; SEED; OTHER_LIB: libraries
 # of the agents and targets with even numbers, to compare.
 export CLUSTER_ENTRIES=${CLUSTER_ENTRIES:-3} TZ=UTC
