--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/HttpLink.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/HttpLink.kt
@@ -18,8 +18,6 @@
 /**
  * Returns an HTTP client for links between processes. It keeps its connections and never sends a request twice by itself.
  *
- * The JDK's client handles a response on the thread that read it: none of its steps blocks, and each change of thread costs a wake-up.
- *
  * Use POST for anything that must not be repeated.
  *
  * @param key sent with every request if not null
@@ -31,10 +29,7 @@
     timeout: Duration? = null,
 ): HttpClient =
     HttpClient(Java) {
-        engine {
-            protocolVersion = Version.HTTP_1_1
-            config { executor(Runnable::run) }
-        }
+        engine { protocolVersion = Version.HTTP_1_1 }
         configureLink(key, connectTimeout, timeout)
     }
 
