The load report tells the work of the whole run when no zone changed

Cause: the share of the work under bursts, cancels, a straggler and a failing worker stood in the saved report only, second by second.

Change: without a change of a zone the report has a line "work in all".

--- a/bench/src/main/kotlin/io/bluebellramp/bench/ZoneWorkReport.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/ZoneWorkReport.kt
@@ -42,7 +42,7 @@
     fun wording(): String = (changes.map { it.wording() } + shares()).joinToString("\n")
 
     private fun shares(): List<String> {
-        val first = changes.minOfOrNull { it.outMillis } ?: return emptyList()
+        val first = changes.minOfOrNull { it.outMillis } ?: return listOf(span("in all", 0.0, Double.MAX_VALUE))
         val last = changes.mapNotNull { it.inMillis }.maxOrNull() ?: return emptyList()
         return listOf(
             span("before", 0.0, first),
--- a/bench/src/test/kotlin/io/bluebellramp/bench/ZoneWorkTest.kt
+++ b/bench/src/test/kotlin/io/bluebellramp/bench/ZoneWorkTest.kt
@@ -3,6 +3,7 @@
 import io.bluebellramp.core.ZoneId
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
+import kotlin.test.assertContains
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
 import kotlin.time.Duration
@@ -56,6 +57,12 @@
         }
     }
 
+    @Test
+    fun `without a change of a zone the report tells the work of the whole run`() {
+        val slices = listOf(WorkSlice(0.0, 1000.0, 2, 2.0, 2.0), WorkSlice(1000.0, 2000.0, 2, 1.0, 2.0))
+        assertContains(ZoneWorkReport(emptyList(), slices).wording(), "work in all: 3.0 of 4.0 s, 75.00%")
+    }
+
     @Nested
     inner class `a zone that leaves and returns` {
         @Test
