One index of rows by id for claims and remembered answers

Cause: the compact table of remembered answers repeated the open addressing of the claims (duplicates listed both). Ruled out: the third table, the start ledger's, whose key is three numbers and whose rows are the slots themselves. Change: RowIndex in core finds, adds, moves and removes rows by two longs; both tables keep their rows. No change of size or behaviour.

--- a/entry/src/main/kotlin/io/bluebellramp/entry/RememberedAnswers.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/RememberedAnswers.kt
@@ -1,5 +1,7 @@
 package io.bluebellramp.entry
 
+import io.bluebellramp.core.RowIndex
+import io.bluebellramp.core.RowKeys
 import io.bluebellramp.core.SubmissionId
 import io.bluebellramp.messages.Answer
 import io.bluebellramp.messages.AnswerOutcome
@@ -70,23 +72,21 @@
 }
 
 /** Rows of remembered answers with an index by id. Rows are only added. */
-internal class AnswerRows {
+internal class AnswerRows : RowKeys {
     private var rows = LongArray(FIRST_ROWS * LONGS)
 
-    /** Row number + 1 by hash, 0 for none; open addressing with linear probing. Its length is a power of two. */
-    private var index = IntArray(2 * FIRST_ROWS)
-
+    private val index = RowIndex(this)
     private var size = 0
 
     /** Memory of the rows and their index. */
-    val bytes get() = rows.size.toLong() * Long.SIZE_BYTES + index.size * Int.SIZE_BYTES
+    val bytes get() = rows.size.toLong() * Long.SIZE_BYTES + index.bytes
 
     /** Returns what the row of [key], which is [id], holds, or null if there is none. */
     fun find(
         id: SubmissionId,
         key: UUID,
     ): KeptAnswers.Kept? {
-        val row = index[slotOf(key.mostSignificantBits, key.leastSignificantBits)] - 1
+        val row = index.find(key.mostSignificantBits, key.leastSignificantBits)
         return if (row < 0) null else read(id, row * LONGS)
     }
 
@@ -94,9 +94,7 @@
     fun add(kept: KeptAnswers.Kept) {
         if ((size + 1) * LONGS > rows.size) rows = rows.copyOf((size + size / GROWTH_SHARE + 1) * LONGS)
         write(kept, size * LONGS)
-        size++
-        if (size > index.size / SLOTS_SHARE * FILLED_SHARE) return rebuildIndex()
-        index[slotOf(size - 1)] = size
+        index.add(size++)
     }
 
     /** Gives back the room that was kept for more rows. */
@@ -150,28 +148,9 @@
         )
     }
 
-    private fun slotOf(row: Int) = slotOf(rows[row * LONGS], rows[row * LONGS + 1])
-
-    /** Returns the slot that holds the key, or the empty one where it belongs. */
-    private fun slotOf(
-        high: Long,
-        low: Long,
-    ): Int {
-        var slot = (((low xor (high * HASH_FACTOR)) * HASH_FACTOR) ushr HASH_SHIFT).toInt() and (index.size - 1)
-        while (index[slot] > 0 && !isAt(index[slot] - 1, high, low)) slot = (slot + 1) and (index.size - 1)
-        return slot
-    }
+    override fun high(row: Int): Long = rows[row * LONGS]
 
-    private fun isAt(
-        row: Int,
-        high: Long,
-        low: Long,
-    ) = rows[row * LONGS] == high && rows[row * LONGS + 1] == low
-
-    private fun rebuildIndex() {
-        index = IntArray(index.size * 2)
-        for (row in 0 until size) index[slotOf(row)] = row + 1
-    }
+    override fun low(row: Int): Long = rows[row * LONGS + 1]
 
     private companion object {
         /** Longs of a row: the id in two, the digest in four, the elapsed time, and the figures of the answer. */
@@ -190,11 +169,6 @@
         /** Rows grow by one part in this many. */
         const val GROWTH_SHARE = 8
 
-        /** The index is doubled when it is filled to three quarters. */
-        const val FILLED_SHARE = 3
-        const val SLOTS_SHARE = 4
-        const val HASH_FACTOR = -0x61c8864680b583ebL
-        const val HASH_SHIFT = 32
         const val RESULTS_DROPPED = "Every task ran but the results are no longer kept."
         const val MESSAGE_DROPPED = "The details are no longer kept."
     }
