The log lines that wait are written before an entry ends

Cause, by reading: the entry cancelled the coroutine that writes decisions, so lines in its queue were lost at each shutdown, against the promise of a line for each decision.

--- a/entry/src/main/kotlin/io/bluebellramp/entry/DecisionLog.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/DecisionLog.kt
@@ -26,7 +26,12 @@
         decisions.trySend(decision)
     }
 
-    /** Writes decisions until it is cancelled. */
+    /** Takes no more decisions. [run] ends once the lines that wait are written. */
+    fun close() {
+        decisions.close()
+    }
+
+    /** Writes decisions until [close]. */
     suspend fun run() =
         withContext(Dispatchers.IO) {
             for (decision in decisions) {
--- a/entry/src/main/kotlin/io/bluebellramp/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/EntryProgram.kt
@@ -69,6 +69,7 @@
             with(agents) { agents() }
         }
     private var leasing: Job? = null
+    private var logging: Job? = null
 
     @Volatile
     private var isLeaving = false
@@ -78,7 +79,7 @@
         shell.links = this
         scope.launch { claims.run() }
         scope.launch { claims.runRetries() }
-        scope.launch { decisions.run() }
+        logging = scope.launch { decisions.run() }
         shell.start(metrics::publish)
         server.start(wait = false)
         leasing = scope.launch { leases.run() }
@@ -99,6 +100,8 @@
             leasing?.cancel()
             leases.leave()
             server.stop(gracePeriodMillis = LAST_RESPONSES.inWholeMilliseconds, timeoutMillis = STOP_TIMEOUT.inWholeMilliseconds)
+            decisions.close()
+            withTimeoutOrNull(STOP_TIMEOUT) { logging?.join() }
             scope.cancel()
             http.close()
         }
--- a/entry/src/test/kotlin/io/bluebellramp/entry/DecisionLogTest.kt
+++ b/entry/src/test/kotlin/io/bluebellramp/entry/DecisionLogTest.kt
@@ -3,8 +3,6 @@
 import io.bluebellramp.core.EntryId
 import io.bluebellramp.core.SubmissionId
 import io.bluebellramp.runtime.Decision
-import kotlinx.coroutines.cancelAndJoin
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import java.util.concurrent.ConcurrentLinkedQueue
@@ -24,8 +22,9 @@
             ids.forEach { log.add(Action.LogRouting("admit", "claim granted", it)) }
             assertNull(budget.admit(1))
             val writer = launch { log.run() }
-            while (budget.used > 0) delay(1)
-            writer.cancelAndJoin()
+            log.close()
+            writer.join()
+            assertEquals(0, budget.used)
             assertEquals(ids, lines.map { it.fields["submission"] })
         }
 }
