The bench takes its entries from a checked settings file; the end of an entry reads in steps

Its settings are those of the command line (the entries). The shutdown of an entry had grown to a dozen lines; waiting for answers and writing the log are steps with names.

--- a/bench/src/main/kotlin/io/bluebellramp/bench/LoadCommand.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/LoadCommand.kt
@@ -19,7 +19,8 @@
 
 /** Puts an open-loop load on a running system and checks every answer. */
 internal class LoadCommand : BenchCommand("load", "Load a running system and check every answer") {
-    private val entries by option(ArgType.String, "entry", description = "URL of an entry; may be given again").required().multiple()
+    private val entries by option(ArgType.String, "entry", description = "URL of an entry; may be given again").multiple()
+    private val config by option(ArgType.String, "config", description = "Settings file that names the entries; --entry goes first")
     private val service by option(ArgType.String, "service", description = "Service to call").required()
     private val load by option(ArgType.Double, "load", description = "Run time of all tasks over the time of all slots").default(0.8)
     private val slots by option(ArgType.Int, "slots", description = "Slots of the service in all").default(88)
@@ -85,7 +86,7 @@
 
     private fun settings() =
         LoadSettings(
-            entries = entries.map { it.trimEnd('/') },
+            entries = entries.map { it.trimEnd('/') }.ifEmpty { configuredEntries(config).map { "http://$it" } },
             service = ServiceId(service),
             team = team?.let { TeamId(it) },
             workload = workload(),
--- a/bench/src/main/kotlin/io/bluebellramp/bench/Main.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/Main.kt
@@ -18,6 +18,7 @@
         println("$PROGRAM $VERSION")
         return
     }
+    if ("--check" in args) exitProcess(checkSettings(args.toList()))
     val commands = listOf(LoadCommand(), StartsCommand(), AgentsCommand(), TrialCommand(), FaultyTargetCommand())
     val parser = argumentParser(PROGRAM)
     parser.subcommands(*commands.toTypedArray())
--- a/bench/src/main/kotlin/io/bluebellramp/bench/standin/AgentsCommand.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/standin/AgentsCommand.kt
@@ -2,6 +2,7 @@
 
 import io.bluebellramp.bench.BenchCommand
 import io.bluebellramp.bench.UsageException
+import io.bluebellramp.bench.configuredEntries
 import io.bluebellramp.core.Address
 import io.bluebellramp.core.ServiceId
 import io.bluebellramp.core.SiteId
@@ -24,7 +25,8 @@
 /** Stands in for many agents and their targets, and counts tasks that start twice. */
 internal class AgentsCommand : BenchCommand("agents", "Stand in for many agents until SIGTERM and count tasks that start twice") {
     private val count by option(ArgType.Int, "count", description = "Number of agents").required()
-    private val entries by option(ArgType.String, "entry", description = "HOST:PORT of an entry; may be given again").required().multiple()
+    private val entries by option(ArgType.String, "entry", description = "HOST:PORT of an entry; may be given again").multiple()
+    private val config by option(ArgType.String, "config", description = "Settings file that names the entries; --entry goes first")
     private val slots by option(ArgType.Int, "slots", description = "Slots that the configuration gives each agent").default(8)
     private val zones by option(ArgType.String, "zone", description = "Zone; may be given again").required().multiple()
     private val service by option(ArgType.String, "service", description = "Service of the targets").default("permit-desk")
@@ -71,7 +73,7 @@
         if (slots < 1) throw UsageException("--slots must be at least 1")
         return StandInSettings(
             count = count,
-            entries = entries.map { Address(it) },
+            entries = entries.map { Address(it) }.ifEmpty { configuredEntries(config) },
             slots = slots,
             zones = zones.map { ZoneId(it) },
             service = ServiceId(service),
--- a/entry/src/main/kotlin/io/bluebellramp/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/bluebellramp/entry/EntryProgram.kt
@@ -93,19 +93,29 @@
             isLeaving = true
             delay(settings.drainMillis.milliseconds)
             shell.use { leave() }
-            while (!shell.use { isIdle }) delay(IDLE_POLL)
-            withTimeoutOrNull(STOP_TIMEOUT) { while (!callers.isIdle) delay(IDLE_POLL) }
-            delay(LAST_RESPONSES)
+            answerAll()
             withTimeoutOrNull(STOP_TIMEOUT) { peers.handOver() }
             leasing?.cancel()
             leases.leave()
             server.stop(gracePeriodMillis = LAST_RESPONSES.inWholeMilliseconds, timeoutMillis = STOP_TIMEOUT.inWholeMilliseconds)
-            decisions.close()
-            withTimeoutOrNull(STOP_TIMEOUT) { logging?.join() }
+            writeLog()
             scope.cancel()
             http.close()
         }
 
+    /** Waits until every submission has its answer and every caller its response. */
+    private suspend fun answerAll() {
+        while (!shell.use { isIdle }) delay(IDLE_POLL)
+        withTimeoutOrNull(STOP_TIMEOUT) { while (!callers.isIdle) delay(IDLE_POLL) }
+        delay(LAST_RESPONSES)
+    }
+
+    /** Writes the log lines that wait. */
+    private suspend fun writeLog() {
+        decisions.close()
+        withTimeoutOrNull(STOP_TIMEOUT) { logging?.join() }
+    }
+
     override fun claim(claim: Action.Claim) = claims.ask(claim)
 
     override fun release(submission: SubmissionId) = claims.release(submission)
