--- /dev/null
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
@@ -0,0 +1,310 @@
+package io.bluebellramp.control.node
+
+import io.bluebellramp.core.Address
+import io.bluebellramp.core.Clock
+import io.bluebellramp.core.IncarnationId
+import io.bluebellramp.core.WireJson
+import io.bluebellramp.core.ZoneId
+import io.bluebellramp.messages.Catalog
+import io.bluebellramp.messages.ControlFrame
+import io.bluebellramp.messages.Directory
+import io.bluebellramp.messages.MemberAddress
+import io.bluebellramp.messages.NodeSettings
+import io.bluebellramp.messages.ProcessHello
+import io.bluebellramp.messages.ProcessRole
+import io.bluebellramp.messages.SharedState
+import io.bluebellramp.replication.ProposalResult
+import io.bluebellramp.replication.Role
+import io.bluebellramp.runtime.Decision
+import io.bluebellramp.runtime.logDecision
+import io.bluebellramp.transport.EventLoop
+import io.bluebellramp.transport.FrameDialer
+import io.bluebellramp.transport.FrameLink
+import io.bluebellramp.transport.FrameServer
+import io.bluebellramp.transport.LinkListener
+import io.bluebellramp.transport.LinkPorts
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import java.nio.file.Path
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What an operator's order or reading came to. */
+sealed interface OperatorResult {
+    /** It is committed; [state] is the state after it. */
+    data class Done(
+        val state: SharedState,
+    ) : OperatorResult
+
+    /** Another catalog has the same number. */
+    data object Conflict : OperatorResult
+
+    /** Another process leads; its host is [host]. */
+    data class LedBy(
+        val host: String,
+    ) : OperatorResult
+
+    /** Nothing is certain: no leader is known, or it was lost under way. */
+    data object Unknown : OperatorResult
+}
+
+/**
+ * A control process that finds the others from seeds. It keeps the catalog and the zones out of service in a replicated log, and tells
+ * every entry and agent that dials it of each change.
+ */
+class ControlNode(
+    private val settings: NodeSettings,
+    private val loop: EventLoop,
+    private val clock: Clock,
+) : AutoCloseable {
+    private val self = LinkPorts.control(settings, settings.host)
+    private val seeds = settings.seeds.map { LinkPorts.control(settings, it.host) }
+    private val incarnation = IncarnationId.next()
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val dialers = HashMap<Address, FrameDialer>()
+    private val processes = HashMap<FrameLink, ProcessHello>()
+    private val joining = HashMap<MemberAddress, Duration>()
+    private val keeper = MemberKeeper(maxOf(seeds.size, 1))
+    private val transport = LinkLogTransport(loop, clock, CALL_TIMEOUT) { dialers[it]?.link }
+    private var state: SharedState? = null
+    private var directory = Directory(emptyList(), emptyList())
+    private var leadsSince: Duration? = null
+    private var isChanging = false
+    private var absentSince: Duration? = null
+    private val log =
+        LogHost(Path.of(settings.dataFolder), self, seeds, settings.founding, transport, clock) { next -> loop.execute { take(next) } }
+    private val server = FrameServer(loop, clock, self.host, self.port, ServerListener())
+
+    /** True while a leader is known. */
+    val isReady: Boolean get() = log.member?.status()?.leader != null
+
+    /** Starts to listen and to find the others. */
+    fun start() {
+        server.start()
+        log.start()
+        loop.every(TICK) { tick() }
+    }
+
+    /** Puts [catalog] in force unless a higher number is. */
+    suspend fun put(catalog: Catalog): OperatorResult = propose(CatalogCommand(catalog = catalog))
+
+    /** Takes [zone] out of service, or back. */
+    suspend fun setZone(
+        zone: ZoneId,
+        isOut: Boolean,
+    ): OperatorResult = propose(if (isOut) CatalogCommand(zoneOut = zone) else CatalogCommand(zoneIn = zone))
+
+    /**
+     * Reads the state, no older than any change that was answered before this call. The reading goes through the log: a lease would not
+     * notice that this VM was suspended.
+     */
+    suspend fun read(): OperatorResult = propose(CatalogCommand())
+
+    override fun close() {
+        scope.cancel()
+        log.close()
+    }
+
+    private suspend fun propose(command: CatalogCommand): OperatorResult {
+        val member = log.member ?: return OperatorResult.Unknown
+        return when (val result = member.propose(WireJson.encodeToString(command))) {
+            is ProposalResult.Applied -> {
+                val verdict = CatalogVerdict.valueOf(result.answer)
+                if (verdict ==
+                    CatalogVerdict.CONFLICT
+                ) {
+                    OperatorResult.Conflict
+                } else {
+                    OperatorResult.Done(log.state() ?: return OperatorResult.Unknown)
+                }
+            }
+
+            is ProposalResult.NotLeader -> {
+                result.leader?.takeIf { it.address != self }?.let { OperatorResult.LedBy(it.address.host) } ?: OperatorResult.Unknown
+            }
+
+            is ProposalResult.Refused, ProposalResult.Unknown -> {
+                OperatorResult.Unknown
+            }
+        }
+    }
+
+    private fun take(next: SharedState) {
+        if (next.index == 0L || next.index <= (state?.index ?: 0L)) return
+        state = next
+        val number = next.catalog?.number ?: "none"
+        logDecision(Decision(kind = "state", reason = "index ${next.index}: catalog $number, zones out ${next.zonesOut}"))
+        val text = stateFrame(next)
+        processes.keys.forEach { it.send(text) }
+    }
+
+    /** The operator's text stays here; the other processes need its queues only. */
+    private fun stateFrame(state: SharedState) =
+        WireJson.encodeToString(ControlFrame(state = state.copy(catalog = state.catalog?.copy(document = ""))))
+
+    private fun tick() {
+        val now = clock.monotonic()
+        val status = log.member?.status()
+        val members = status?.membership?.let { it.voters + it.learners }.orEmpty()
+        val addresses = (members.map { it.address } + seeds).toSet() - self
+        (addresses - dialers.keys).forEach { dial(it) }
+        (dialers.keys - addresses).forEach { dialers.remove(it)?.stop() }
+        dialers.values.forEach { it.check(now) }
+        processes.keys.filter { now - it.heardAt > LINK_SILENCE }.forEach { it.close() }
+        beat(now)
+        tellDirectory(members)
+        leadsSince = if (status?.role == Role.LEADER) leadsSince ?: now else null
+        keepMembers(now)
+        leaveIfRemoved(now, status?.membership?.retired?.contains(log.identity?.member) == true)
+    }
+
+    private var beatAt = Duration.ZERO
+
+    private fun beat(now: Duration) {
+        if (now - beatAt < BEAT_PERIOD) return
+        beatAt = now
+        processes.keys.forEach { it.send(EMPTY_FRAME) }
+        val ask = log.identity?.takeIf { log.isJoining }
+        val text = if (ask == null) EMPTY_FRAME else WireJson.encodeToString(ControlFrame(joining = ask))
+        dialers.values.forEach { it.link?.send(text) }
+    }
+
+    private fun tellDirectory(members: List<MemberAddress>) {
+        val next = Directory(members, processes.values.filter { it.role == ProcessRole.ENTRY })
+        if (next == directory) return
+        directory = next
+        val text = WireJson.encodeToString(ControlFrame(directory = next))
+        processes.keys.forEach { it.send(text) }
+    }
+
+    private fun keepMembers(now: Duration) {
+        joining.values.removeAll { now - it > JOIN_LIFE }
+        val since = leadsSince ?: return
+        val member = log.member ?: return
+        if (isChanging || now - since < SILENT_AFTER) return
+        val isSilent = { other: MemberAddress ->
+            other.address != self && now - (transport.lastAnswer(other.member) ?: since) > SILENT_AFTER
+        }
+        val change = keeper.nextChange(member.status().membership, joining.keys, isSilent) ?: return
+        isChanging = true
+        scope.launch {
+            val result = member.changeMembership(change)
+            val reason = "${change.action.name.lowercase()} ${change.member} for ${change.replaces ?: "none"}: $result"
+            logDecision(Decision(kind = "membership", reason = reason.take(LONGEST_REASON)))
+            loop.execute { isChanging = false }
+        }
+    }
+
+    /** A member that the others have retired never votes again, so it joins anew. */
+    private fun leaveIfRemoved(
+        now: Duration,
+        isRetired: Boolean,
+    ) {
+        val isAbsent = isRetired || isMissingElsewhere()
+        absentSince = if (isAbsent) absentSince ?: now else null
+        val since = absentSince ?: return
+        if (now - since < ABSENT_FOR) return
+        absentSince = null
+        scope.launch { log.startAfresh() }
+    }
+
+    private val othersMembers = HashMap<Address, List<MemberAddress>>()
+
+    /** Tells whether every other control process that can be reached names members without this one. */
+    private fun isMissingElsewhere(): Boolean {
+        val own = log.identity ?: return false
+        if (log.isJoining) return false
+        val named =
+            dialers.values
+                .filter { it.link != null }
+                .mapNotNull { othersMembers[it.address] }
+                .filter { it.isNotEmpty() }
+        return named.size >= MAJORITY_OF_THREE && named.all { members -> members.none { it.member == own.member } }
+    }
+
+    private fun dial(address: Address) {
+        val dialer = FrameDialer(loop, clock, address, LINK_SILENCE, ClientListener(address))
+        dialers[address] = dialer
+        dialer.start()
+    }
+
+    private fun hello() = ProcessHello(settings.node, ProcessRole.CONTROL, incarnation, settings.zone, self)
+
+    /** Links that other processes have dialled. */
+    private inner class ServerListener : LinkListener {
+        override fun onFrame(
+            link: FrameLink,
+            text: String,
+        ) {
+            val frame = WireJson.decodeFromString<ControlFrame>(text)
+            frame.hello?.let { welcome(link, it) }
+            frame.joining?.let { joining[it] = clock.monotonic() }
+            val call = frame.call ?: return
+            scope.launch {
+                val reply = WireJson.encodeToString(ControlFrame(reply = log.answer(call)))
+                loop.execute { link.send(reply) }
+            }
+        }
+
+        override fun onClosed(link: FrameLink) {
+            val gone = processes.remove(link) ?: return
+            logDecision(Decision(kind = "process_gone", reason = "${gone.role.name.lowercase()} ${gone.node}"))
+        }
+
+        private fun welcome(
+            link: FrameLink,
+            hello: ProcessHello,
+        ) {
+            processes[link] = hello
+            logDecision(Decision(kind = "process_seen", reason = "${hello.role.name.lowercase()} ${hello.node} at ${hello.address}"))
+            state?.let { link.send(stateFrame(it)) }
+            link.send(WireJson.encodeToString(ControlFrame(directory = directory)))
+        }
+    }
+
+    /** Links that this process has dialled to other control processes. */
+    private inner class ClientListener(
+        private val address: Address,
+    ) : LinkListener {
+        override fun onOpen(link: FrameLink) = link.send(WireJson.encodeToString(ControlFrame(hello = hello())))
+
+        override fun onFrame(
+            link: FrameLink,
+            text: String,
+        ) {
+            if (text == EMPTY_FRAME) return
+            val frame = WireJson.decodeFromString<ControlFrame>(text)
+            frame.reply?.let { transport.onReply(it) }
+            frame.directory?.let { othersMembers[address] = it.controls }
+        }
+
+        override fun onClosed(link: FrameLink) {
+            othersMembers.remove(address)
+        }
+    }
+
+    private companion object {
+        val TICK = 50.milliseconds
+        val BEAT_PERIOD = 400.milliseconds
+
+        /** A link without a frame for this long is taken for lost: four beats. */
+        val LINK_SILENCE = 1600.milliseconds
+
+        /** Longest time of a call between members: an election time. */
+        val CALL_TIMEOUT = 700.milliseconds
+
+        /** A voter without an answer for this long may be replaced by a member that asks to join: a restart takes less. */
+        val SILENT_AFTER = 5.seconds
+        val JOIN_LIFE = 2.seconds
+
+        /** How long the others must name members without this one before it gives up its place. */
+        val ABSENT_FOR = 3.seconds
+        const val MAJORITY_OF_THREE = 2
+        const val LONGEST_REASON = 300
+        const val EMPTY_FRAME = "{}"
+    }
+}
--- a/core/src/main/kotlin/io/bluebellramp/core/Ids.kt
+++ b/core/src/main/kotlin/io/bluebellramp/core/Ids.kt
@@ -139,3 +139,12 @@
         val ZERO = Revision(0)
     }
 }
+
+/** Names a best-effort job. The caller chooses it and sends the same one again after a lost answer. */
+@Serializable
+@JvmInline
+value class JobId(
+    val value: String,
+) {
+    override fun toString() = value
+}
--- /dev/null
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/AgentRoom.kt
@@ -0,0 +1,64 @@
+package io.bluebellramp.jobs
+
+import io.bluebellramp.core.ServiceId
+import io.bluebellramp.core.ZoneId
+import io.bluebellramp.messages.RoomReport
+import io.bluebellramp.messages.StepDispatch
+import io.bluebellramp.placement.RoomView
+import kotlin.time.Duration
+
+/** What an entry knows of the room at one agent: its last report, and what was sent since. */
+internal class AgentRoom(
+    private val link: LinkId,
+    val name: String,
+    val zone: ZoneId,
+) {
+    private class Sent(
+        val upTo: Long,
+        val milliCpu: Int,
+        val memoryMb: Int,
+        val work: Long,
+    )
+
+    private var report = RoomReport(accepting = false)
+    private var reportedAt = Duration.ZERO
+    private val sent = ArrayDeque<Sent>()
+    private var sentTasks = 0L
+
+    fun take(
+        next: RoomReport,
+        now: Duration,
+    ) {
+        report = next
+        reportedAt = now
+        while (sent.isNotEmpty() && sent.first().upTo <= next.received) sent.removeFirst()
+    }
+
+    fun note(dispatch: StepDispatch) {
+        val count = dispatch.tasks.size
+        sentTasks += count
+        val work = count.toLong() * dispatch.milliCpu * dispatch.estimateMillis
+        sent += Sent(sentTasks, count * dispatch.milliCpu, count * dispatch.memoryMb, work)
+    }
+
+    /** Tells whether new tasks of [service] may go there. */
+    fun isOpenFor(
+        service: ServiceId,
+        zonesOut: Set<ZoneId>,
+    ) = report.accepting && report.service == service && zone !in zonesOut
+
+    fun view(now: Duration): RoomView<LinkId> {
+        val freeCpu = report.freeMilliCpu - sent.sumOf { it.milliCpu }
+        // What was sent and does not fit into the free room waits there.
+        val sentWork = if (freeCpu < 0) sent.sumOf { it.work } else 0
+        return RoomView(
+            agent = link,
+            milliCpu = report.milliCpu,
+            freeMilliCpu = freeCpu,
+            freeMemoryMb = report.freeMemoryMb - sent.sumOf { it.memoryMb },
+            queuedWork = report.queuedWork + sentWork,
+            slowness = report.slowness,
+            age = now - reportedAt,
+        )
+    }
+}
--- /dev/null
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/Directory.kt
@@ -0,0 +1,10 @@
+package io.bluebellramp.messages
+
+import kotlinx.serialization.Serializable
+
+/** Processes that a control process knows. */
+@Serializable
+data class Directory(
+    val controls: List<MemberAddress>,
+    val entries: List<ProcessHello>,
+)
--- /dev/null
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/ProcessHello.kt
@@ -0,0 +1,17 @@
+package io.bluebellramp.messages
+
+import io.bluebellramp.core.Address
+import io.bluebellramp.core.IncarnationId
+import io.bluebellramp.core.ZoneId
+import kotlinx.serialization.Serializable
+
+/** First frame of a process on a link. */
+@Serializable
+data class ProcessHello(
+    /** Name of its VM. */
+    val node: String,
+    val role: ProcessRole,
+    val incarnation: IncarnationId,
+    val zone: ZoneId,
+    val address: Address,
+)
--- /dev/null
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/ReportFrame.kt
@@ -0,0 +1,11 @@
+package io.bluebellramp.messages
+
+import kotlinx.serialization.Serializable
+
+/** A frame from an agent to an entry. An empty one keeps the link alive. */
+@Serializable
+data class ReportFrame(
+    val hello: ProcessHello? = null,
+    val room: RoomReport? = null,
+    val outcomes: List<TaskReport> = emptyList(),
+)
--- /dev/null
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/RoomView.kt
@@ -0,0 +1,44 @@
+package io.bluebellramp.placement
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * What a placement decision knows of the room at one agent.
+ *
+ * @property freeMilliCpu processor capacity not in use, less what was sent since the report (thousandths of a core; below 0 if more was sent)
+ * @property queuedWork work that waits there, with what was sent since the report (thousandths of a core times ms)
+ * @property slowness run time over estimate of recent tasks
+ * @property age time since the report
+ */
+data class RoomView<A>(
+    val agent: A,
+    val milliCpu: Int,
+    val freeMilliCpu: Int,
+    val freeMemoryMb: Int,
+    val queuedWork: Long,
+    val slowness: Double,
+    val age: Duration,
+) {
+    /** Returns how long a task that needs [milliCpu] and [memoryMb] is likely to wait here. */
+    fun expectedWait(
+        milliCpu: Int,
+        memoryMb: Int,
+    ): Duration {
+        if (freeMilliCpu >= milliCpu && freeMemoryMb >= memoryMb) return Duration.ZERO
+        val missing = (milliCpu - freeMilliCpu).coerceAtLeast(0)
+        val behind = queuedWork + missing * TYPICAL_REMAINING.inWholeMilliseconds
+        return (behind / this.milliCpu.coerceAtLeast(1)).milliseconds.coerceAtLeast(SHORTEST_WAIT)
+    }
+
+    /** Tells whether a task with these needs could ever run here. */
+    fun canHold(milliCpu: Int) = milliCpu <= this.milliCpu
+
+    private companion object {
+        /** Time until half of the running tasks of a full target have ended; typical for sub-second tasks. */
+        val TYPICAL_REMAINING = 150.milliseconds
+
+        /** A full target frees room in steps; this is one of them. */
+        val SHORTEST_WAIT = 10.milliseconds
+    }
+}
--- /dev/null
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/TaskSpreader.kt
@@ -0,0 +1,60 @@
+package io.bluebellramp.placement
+
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Chooses an agent for each task of a step from reports that are some tens of milliseconds old.
+ *
+ * Answers moderate to heavy load from several entries at once: entries that all chose the agent with most room would meet there, so the
+ * choice among agents that are about equally good is drawn by lot, in proportion to their free room.
+ */
+class TaskSpreader(
+    private val random: Random,
+) {
+    /** The agent chosen and the wait expected there. */
+    data class Choice<A>(
+        val agent: A,
+        val wait: Duration,
+        val runTime: Duration,
+    )
+
+    /** Returns the choice for one task among [views], or null if none can run it. */
+    fun <A> choose(
+        views: List<RoomView<A>>,
+        milliCpu: Int,
+        memoryMb: Int,
+        estimate: Duration,
+    ): Choice<A>? {
+        val choices =
+            views.filter { it.canHold(milliCpu) }.map {
+                it to Choice(it.agent, it.expectedWait(milliCpu, memoryMb), estimate * it.slowness)
+            }
+        if (choices.isEmpty()) return null
+        val best = choices.minOf { it.second.end }
+        val good = choices.filter { it.second.end <= best * NEARLY + NEARLY_SAME }
+        return draw(good)
+    }
+
+    private fun <A> draw(good: List<Pair<RoomView<A>, Choice<A>>>): Choice<A> {
+        val weights = good.map { (view, _) -> view.freeMilliCpu.coerceAtLeast(LEAST_WEIGHT) }
+        var left = random.nextInt(weights.sum())
+        for ((index, weight) in weights.withIndex()) {
+            left -= weight
+            if (left < 0) return good[index].second
+        }
+        return good.last().second
+    }
+
+    private val Choice<*>.end get() = wait + runTime
+
+    private companion object {
+        /** Expected ends within this factor are as good as the best: estimates are off by more. */
+        const val NEARLY = 1.15
+        val NEARLY_SAME = 8.milliseconds
+
+        /** Weight of an agent without free room (thousandths of a core). */
+        const val LEAST_WEIGHT = 500
+    }
+}
--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/HttpServer.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/HttpServer.kt
@@ -26,7 +26,6 @@
 import io.ktor.server.websocket.WebSockets
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
-import java.io.ByteArrayOutputStream
 
 /** Tells a balancer whether the process is well. */
 interface Health {
@@ -99,9 +98,3 @@
 }
 
 private fun ApplicationCall.needsKey() = openPaths.none { request.path() == it || request.path().startsWith("$it/") }
-
-private fun PrometheusRegistry.text(): String {
-    val out = ByteArrayOutputStream()
-    PrometheusTextFormatWriter.create().write(out, scrape())
-    return out.toString(Charsets.UTF_8)
-}
--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/Logging.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/Logging.kt
@@ -61,6 +61,12 @@
 
 /** Logs [decision] as one line. The fields follow a task through all processes. */
 fun logDecision(decision: Decision) {
+    val lines = JsonLines.installed
+    if (lines !=
+        null
+    ) {
+        return lines.add("INFO", "decision", mapOf("decision" to decision.kind, "reason" to decision.reason) + decision.fields)
+    }
     ThreadContext.put("decision", decision.kind)
     ThreadContext.put("reason", decision.reason)
     decision.fields.forEach { (name, value) -> ThreadContext.put(name, value.toString()) }
--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/Metrics.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/Metrics.kt
@@ -3,7 +3,9 @@
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.ByteArrayOutputStream
 
 /** Registers and returns a counter that has one series for each value of its [labels]. */
 fun PrometheusRegistry.counter(
@@ -41,3 +43,10 @@
         .help(help)
         .callback { it.call(value().toDouble()) }
         .register(this)
+
+/** Returns all metrics in the Prometheus text format. */
+fun PrometheusRegistry.text(): String {
+    val out = ByteArrayOutputStream()
+    PrometheusTextFormatWriter.create().write(out, scrape())
+    return out.toString(Charsets.UTF_8)
+}
--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/SettingsReader.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/SettingsReader.kt
@@ -28,11 +28,13 @@
  * @param type name of the settings type in the schema
  * @param serializer decodes the checked text
  * @param check further checks that the schema cannot express
+ * @param checksSchema false leaves all checks to [serializer] and [check], for programs that must start fast
  */
 class SettingsReader<T>(
     private val type: String,
     private val serializer: KSerializer<T>,
     private val check: (T) -> List<Violation> = { emptyList() },
+    private val checksSchema: Boolean = true,
 ) {
     /** Reads [file]. A file that cannot be read is a violation at `$`. */
     fun read(file: Path): SettingsResult<T> =
@@ -54,7 +56,7 @@
 
     /** Checks and decodes [text]. */
     fun parse(text: String): SettingsResult<T> {
-        val violations = SchemaValidator.violations(text, type)
+        val violations = if (checksSchema) SchemaValidator.violations(text, type) else emptyList()
         if (violations.isNotEmpty()) return SettingsResult.Invalid(violations)
         return try {
             val settings = StrictJson.decodeFromString(serializer, text)
