--- /dev/null
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/Fakes.kt
@@ -0,0 +1,169 @@
+package io.bluebellramp.jobs
+
+import io.bluebellramp.core.Clock
+import io.bluebellramp.core.JobId
+import io.bluebellramp.core.ServiceId
+import io.bluebellramp.core.TargetId
+import io.bluebellramp.messages.Queue
+import io.bluebellramp.messages.RoomReport
+import io.bluebellramp.messages.StepDispatch
+import io.bluebellramp.messages.TaskReport
+import java.time.Instant
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.toJavaDuration
+
+/** A clock that a test moves; the time of day can be moved alone, as by a suspension. */
+internal class FakeClock : Clock {
+    private var now = 100.seconds
+    private var wallShift = Duration.ZERO
+
+    override fun monotonic(): Duration = now
+
+    override fun wall(): Instant = Instant.EPOCH + (now + wallShift).toJavaDuration()
+
+    fun pass(time: Duration) {
+        now += time
+    }
+
+    fun suspend(time: Duration) {
+        wallShift += time
+    }
+}
+
+internal val SERVICE = ServiceId("desk")
+
+internal val QUEUE =
+    Queue(name = "q", host = "h", prefix = "/q/", service = SERVICE, priority = 0, attempts = 3, stretch = 1.6, allowanceMillis = 60)
+
+internal fun request(
+    id: String = "00000000000000a1",
+    tasks: Int = 1,
+    estimate: Duration = 100.milliseconds,
+    patience: Duration = 1500.milliseconds,
+    queue: Queue = QUEUE,
+    steps: List<StepRequest> = listOf(StepRequest(tasks, milliCpu = 3000, memoryMb = 64, estimate = estimate)),
+) = JobRequest(JobId(id), queue, "spec", steps, patience)
+
+internal fun room(
+    free: Int = 32_000,
+    queued: Long = 0,
+    accepting: Boolean = true,
+    received: Long = 0,
+) = RoomReport(
+    service = SERVICE,
+    accepting = accepting,
+    milliCpu = 32_000,
+    memoryMb = 10_000,
+    freeMilliCpu = free,
+    freeMemoryMb = 10_000,
+    queuedWork = queued,
+    received = received,
+)
+
+/** Records what a [JobDesk] sends. */
+internal class RecordedOutputs : JobOutputs {
+    val dispatches = ArrayList<Pair<LinkId, StepDispatch>>()
+    val stops = ArrayList<Pair<LinkId, JobId>>()
+    val decisions = ArrayList<JobDecision>()
+
+    override fun dispatch(
+        link: LinkId,
+        dispatch: StepDispatch,
+    ) {
+        dispatches += link to dispatch
+    }
+
+    override fun stop(
+        link: LinkId,
+        job: JobId,
+    ) {
+        stops += link to job
+    }
+
+    override fun decided(decision: JobDecision) {
+        decisions += decision
+    }
+}
+
+/** Records what a [RunDesk] reports. */
+internal class RecordedReports : RunOutputs {
+    val reports = ArrayList<Pair<LinkId, TaskReport>>()
+    val decisions = ArrayList<JobDecision>()
+
+    override fun report(
+        link: LinkId,
+        report: TaskReport,
+    ) {
+        reports += link to report
+    }
+
+    override fun roomChanged() = Unit
+
+    override fun decided(decision: JobDecision) {
+        decisions += decision
+    }
+}
+
+/** A target whose answers a test gives by hand, in any order. */
+internal class FakeTarget : TargetPort {
+    class Start(
+        val order: StartOrder,
+        val answer: (StartResult) -> Unit,
+    )
+
+    class Stop(
+        val run: RunKey,
+        val answer: (Boolean) -> Unit,
+    )
+
+    class Lease(
+        val until: Duration?,
+        val acknowledged: Long,
+        val answer: (LeaseResult) -> Unit,
+    )
+
+    val starts = ArrayList<Start>()
+    val stops = ArrayList<Stop>()
+    val leases = ArrayList<Lease>()
+    var clock = 5.seconds
+    private var ends = 0L
+
+    override fun start(
+        target: TargetId,
+        order: StartOrder,
+        onResult: (StartResult) -> Unit,
+    ) {
+        starts += Start(order, onResult)
+    }
+
+    override fun stop(
+        target: TargetId,
+        run: RunKey,
+        fence: Long,
+        onResult: (Boolean) -> Unit,
+    ) {
+        stops += Stop(run, onResult)
+    }
+
+    override fun lease(
+        target: TargetId,
+        leaseUntil: Duration?,
+        acknowledged: Long,
+        fence: Long,
+        wait: Duration,
+        onResult: (LeaseResult) -> Unit,
+    ) {
+        leases += Lease(leaseUntil, acknowledged, onResult)
+    }
+
+    /** Answers the lease that is open. */
+    fun list(
+        running: List<RunKey> = emptyList(),
+        ended: List<Pair<RunKey, RunEnd>> = emptyList(),
+    ) {
+        val listed = ended.map { (run, end) -> ListedEnd(++ends, run, end) }
+        leases.last().answer(LeaseResult.Listed(life = 1, clock = clock, running = running, ended = listed))
+    }
+}
