A run is judged only by a list that was asked for after the last answer about it

A list of what runs that was asked for before an order to start was carried out, and arrived after its answer, ended the run in the agent's books: the task was given back while it ran, and its room counted as free. Ruled out: late orders (none under way) and the entry's links (none lost). Change: Run.settledAt, the time of the last answer about a run; only lists asked for later count. A run that is missing from such a list is stopped, which bars it, before its task is given back. The same for orders to stop. Before: three new cases of RunDeskTest fail. After: they pass.

--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/Run.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/Run.kt
@@ -32,16 +32,33 @@
     var number = 0
     var orderedAt = Duration.ZERO
 
-    /** True once the target is known to have taken it. */
-    var isKnownStarted = false
+    /** When the target was first known to have taken it, or null. */
+    var confirmedAt: Duration? = null
+
+    /** When the order to start was given up without an answer, or null. */
+    var givenUpAt: Duration? = null
 
     /** When the last order to stop it was sent, or null. */
     var stopSentAt: Duration? = null
 
-    /** True once the target has answered an order to stop it. */
-    var isStopAnswered = false
+    /** When the target answered an order to stop it, or null. */
+    var stopAnsweredAt: Duration? = null
     var reason = ""
     var refusals = 0
     val key get() = RunKey(task, number)
+    val isKnownStarted get() = confirmedAt != null
+
+    /**
+     * When the last answer about it came, or null. Only a list that was asked for later tells of it: answers on different connections
+     * overtake each other.
+     */
+    val settledAt: Duration?
+        get() =
+            when (state) {
+                RunState.UNSURE -> givenUpAt
+                RunState.RUNNING -> confirmedAt
+                RunState.STOPPING -> stopAnsweredAt
+                RunState.QUEUED, RunState.STARTING -> null
+            }
     val takesRoom get() = state != RunState.QUEUED
 }
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/RunDesk.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/RunDesk.kt
@@ -194,7 +194,8 @@
         if (!isReachable && leasedUntil < now) endLapsed()
         for (run in runs.values.toList()) {
             val sent = run.stopSentAt
-            if (run.state == RunState.STOPPING && !run.isStopAnswered && sent != null && now - sent > STOP_REPEAT) sendStop(run)
+            val isOpen = run.state == RunState.STOPPING && run.stopAnsweredAt == null
+            if (isOpen && sent != null && now - sent > STOP_REPEAT) sendStop(run)
         }
         advance()
     }
@@ -266,15 +267,22 @@
         if (runs[run.task] !== run) return
         when (result) {
             StartResult.Started -> confirm(run)
-            StartResult.NoAnswer -> if (run.state == RunState.STARTING) run.state = RunState.UNSURE
+            StartResult.NoAnswer -> giveUp(run)
             is StartResult.Refused -> refused(run, result.refusal)
         }
         advance()
     }
 
+    private fun giveUp(run: Run) {
+        if (run.state != RunState.STARTING) return
+        run.state = RunState.UNSURE
+        run.givenUpAt = clock.monotonic()
+        note("start_unanswered", run)
+    }
+
     private fun confirm(run: Run) {
         if (!run.isKnownStarted) {
-            run.isKnownStarted = true
+            run.confirmedAt = clock.monotonic()
             outputs.report(run.owner, run.report(TaskEvent.STARTED))
         }
         if (run.state == RunState.STARTING || run.state == RunState.UNSURE) run.state = RunState.RUNNING
@@ -316,7 +324,7 @@
     private fun sendStop(run: Run) {
         val known = news ?: return
         run.stopSentAt = clock.monotonic()
-        target.stop(known.id, run.key, fence) { if (it) run.isStopAnswered = true }
+        target.stop(known.id, run.key, fence) { if (it) run.stopAnsweredAt = clock.monotonic() }
     }
 
     private fun askLease() {
@@ -417,16 +425,15 @@
             if (run != null) confirm(run) else endForeign(key)
         }
         for (run in runs.values.toList()) {
-            if (!run.takesRoom || run.key in running || run.orderedAt >= sentAt) continue
+            val settledAt = run.settledAt ?: continue
+            if (run.key in running || settledAt >= sentAt) continue
             when (run.state) {
                 // An order that got no answer and is not there may still come: stopping it bars it.
                 RunState.UNSURE -> stop(run, "the order to start got no answer")
 
-                RunState.STOPPING -> if (run.isStopAnswered && run.stopSentAt!! < sentAt) over(run, run.lastEvent(), run.reason)
-
-                RunState.RUNNING -> over(run, TaskEvent.STOPPED, "the target does not know the run")
+                RunState.STOPPING -> over(run, run.lastEvent(), run.reason)
 
-                else -> Unit
+                else -> stop(run, "the target does not know the run")
             }
         }
     }
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/RunDeskTest.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/RunDeskTest.kt
@@ -151,6 +151,48 @@
             assertEquals(listOf(TaskEvent.NOT_STARTED), events())
         }
 
+        @Test
+        fun `a list made before a start was carried out does not end the run`() {
+            reach()
+            desk.dispatch(entry, dispatch())
+            clock.pass(1.milliseconds)
+            target.list()
+            clock.pass(1.milliseconds)
+            val run = started()
+            clock.pass(1.milliseconds)
+            target.list()
+            assertEquals(listOf(TaskEvent.STARTED), events())
+            assertEquals(emptyList(), target.stops)
+            target.list(running = listOf(run))
+            assertEquals(listOf(TaskEvent.STARTED), events())
+        }
+
+        @Test
+        fun `a run that the target does not list any more is barred before its task is given back`() {
+            reach()
+            desk.dispatch(entry, dispatch())
+            started()
+            clock.pass(1.milliseconds)
+            target.list()
+            target.list()
+            assertEquals(1, target.stops.size)
+            assertEquals(listOf(TaskEvent.STARTED), events())
+        }
+
+        @Test
+        fun `a list made before an order to stop was carried out does not free the room`() {
+            reach()
+            desk.dispatch(entry, dispatch())
+            started()
+            desk.stopJob(entry, JobId("00000000000000a1"))
+            clock.pass(1.milliseconds)
+            target.list()
+            clock.pass(1.milliseconds)
+            target.stops.single().answer(true)
+            target.list()
+            assertEquals(listOf(TaskEvent.STARTED), events())
+        }
+
         @Test
         fun `an order to stop without an answer is given again`() {
             reach()
