Free room goes to the kind of request that was given least; slow, failing and standing targets are noticed

Cause: in overload the tasks with the longest slack filled the queues, so that short and urgent jobs were refused (one line by latest start). A target that was slow, failed everything or stood still was given as much as the others. Ruled out: order by the declared priority alone, which starves the last kind whatever it asks for. Change: RunQueue has a line for each queue and serves the one given least work lately; the wait that admission sees counts only work that goes before. Agents report slowness and the share of failures, both fading; a run without progress is stopped and given back. Also: bluebellrampctl explain, the VM's name in each log line.

--- a/cli/src/main/kotlin/io/bluebellramp/cli/Main.kt
+++ b/cli/src/main/kotlin/io/bluebellramp/cli/Main.kt
@@ -23,6 +23,7 @@
         SubmitCommand(),
         RequestCommand(),
         CancelCommand(),
+        ExplainCommand(),
     )
 
 /** Runs the command that the first words of [args] name. */
--- /dev/null
+++ b/cli/src/test/kotlin/io/bluebellramp/cli/ExplanationTest.kt
@@ -0,0 +1,53 @@
+package io.bluebellramp.cli
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+
+class ExplanationTest {
+    private val job = "5c0e7a21d94b36f8"
+
+    private fun line(
+        second: Int,
+        decision: String,
+        fields: String = "",
+        id: String = job,
+    ) =
+        """{"time":"2026-01-01T00:00:0$second.1Z","level":"INFO","message":"decision","node":"n","decision":"$decision","job":"$id"$fields}"""
+
+    private fun explain(vararg lines: String) = Explanation.of(job, lines.asSequence())
+
+    @Test
+    fun `lines of all processes come in the order of time, other lines are passed over`() {
+        val explanation =
+            explain(
+                "12.5 front-1 " + line(3, "answered", ""","outcome":"Completed","elapsed":"80ms","objective":"200ms""""),
+                line(1, "placed"),
+                line(2, "placed", id = "00000000000000ff"),
+                "$job but no JSON",
+            )
+        assertEquals(listOf("placed", "answered"), explanation.lines.map { it.split(' ')[2] })
+    }
+
+    @TestFactory
+    fun `the cause is named`(): List<DynamicTest> =
+        mapOf(
+            "refused under load" to
+                Pair(listOf(line(1, "refused", ""","reason":"no room in time"""")), "Refused on arrival: no room in time"),
+            "lost to a target" to
+                Pair(
+                    listOf(
+                        line(1, "task_back", ""","reason":"its lease ran out unseen""""),
+                        line(2, "answered", ""","outcome":"Unfinished","elapsed":"1.5s","objective":"200ms""""),
+                    ),
+                    "1 x its lease ran out unseen",
+                ),
+            "the caller left" to
+                Pair(listOf(line(1, "ending", ""","reason":"the caller left"""")), "Ended without an answer: the caller left"),
+            "nothing known" to Pair(emptyList(), "No line names this job"),
+            "still open" to Pair(listOf(line(1, "placed")), "No answer is logged"),
+        ).map { (name, case) -> dynamicTest(name) { assertContains(explain(*case.first.toTypedArray()).cause, case.second) } }
+}
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/AgentRoom.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/AgentRoom.kt
@@ -15,6 +15,7 @@
 ) {
     private class Sent(
         val upTo: Long,
+        val queue: String,
         val milliCpu: Int,
         val memoryMb: Int,
         val work: Long,
@@ -38,7 +39,7 @@
         val count = dispatch.tasks.size
         sentTasks += count
         val work = count.toLong() * dispatch.milliCpu * dispatch.estimateMillis
-        sent += Sent(sentTasks, count * dispatch.milliCpu, count * dispatch.memoryMb, work)
+        sent += Sent(sentTasks, dispatch.queue, count * dispatch.milliCpu, count * dispatch.memoryMb, work)
     }
 
     /** Tells whether new tasks of [service] may go there. */
@@ -47,18 +48,34 @@
         zonesOut: Set<ZoneId>,
     ) = report.accepting && report.service == service && zone !in zonesOut
 
-    fun view(now: Duration): RoomView<LinkId> {
+    /** Time since the last report. */
+    fun age(now: Duration) = now - reportedAt
+
+    /** Returns the room as a task of [queue] finds it. */
+    fun view(
+        now: Duration,
+        queue: String,
+    ): RoomView<LinkId> {
         val freeCpu = report.freeMilliCpu - sent.sumOf { it.milliCpu }
+        val before = queuesBefore(queue)
         // What was sent and does not fit into the free room waits there.
-        val sentWork = if (freeCpu < 0) sent.sumOf { it.work } else 0
+        val sentWork = if (freeCpu < 0) sent.sumOf { if (it.queue in before) it.work else 0L } else 0L
         return RoomView(
             agent = link,
             milliCpu = report.milliCpu,
             freeMilliCpu = freeCpu,
             freeMemoryMb = report.freeMemoryMb - sent.sumOf { it.memoryMb },
-            queuedWork = report.queuedWork + sentWork,
+            workAhead = report.waiting.sumOf { if (it.queue in before) it.work else 0L } + sentWork,
             slowness = report.slowness,
+            failing = report.failing,
             age = now - reportedAt,
         )
     }
+
+    /** The queues whose tasks go before a new task of [queue], with itself. */
+    private fun queuesBefore(queue: String): Set<String> {
+        val names = report.waiting.map { it.queue }
+        val place = names.indexOf(queue)
+        return if (place < 0) setOf(queue) else names.take(place + 1).toSet()
+    }
 }
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/JobDesk.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/JobDesk.kt
@@ -216,7 +216,7 @@
     private fun views(
         job: Job,
         now: Duration,
-    ) = rooms.values.filter { it.isOpenFor(job.request.queue.service, zonesOut) }.map { it.view(now) }
+    ) = rooms.values.filter { it.isOpenFor(job.request.queue.service, zonesOut) }.map { it.view(now, job.request.queue.name) }
 
     private fun advance(job: Job) {
         if (job.ending != null) return finishEnding(job)
@@ -269,7 +269,7 @@
             val free = view.freeMilliCpu - step.milliCpu
             val queued = if (free < 0) step.milliCpu * step.estimate.inWholeMilliseconds else 0
             views[choice.agent] =
-                view.copy(freeMilliCpu = free, freeMemoryMb = view.freeMemoryMb - step.memoryMb, queuedWork = view.queuedWork + queued)
+                view.copy(freeMilliCpu = free, freeMemoryMb = view.freeMemoryMb - step.memoryMb, workAhead = view.workAhead + queued)
         }
         return chosen
     }
@@ -291,6 +291,7 @@
                     step = step,
                     tasks = group.map { it.index },
                     attempt = attempt,
+                    queue = job.request.queue.name,
                     service = job.request.queue.service,
                     milliCpu = body.milliCpu,
                     memoryMb = body.memoryMb,
@@ -299,7 +300,7 @@
                     priority = job.request.queue.priority,
                     startWithinMillis = window.inWholeMilliseconds.coerceAtLeast(1),
                 )
-            val age = room.view(now).age
+            val age = room.age(now)
             room.note(dispatch)
             group.forEach {
                 it.attempts = attempt
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/Run.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/Run.kt
@@ -2,6 +2,7 @@
 
 import io.bluebellramp.messages.StepDispatch
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Where a run stands at its agent. */
 internal enum class RunState {
@@ -44,7 +45,26 @@
     /** When the target answered an order to stop it, or null. */
     var stopAnsweredAt: Duration? = null
     var reason = ""
+
+    /** How far it is (0 to 100), and since when it is no farther. */
+    var percent = -1
+        private set
+    private var percentSince = Duration.ZERO
+
+    /** Notes how far the run is; returns how long it has stood there. */
+    fun progress(
+        next: Int,
+        now: Duration,
+    ): Duration {
+        if (next != percent) {
+            percent = next
+            percentSince = now
+        }
+        return now - percentSince
+    }
+
     var refusals = 0
+    val estimate get() = dispatch.estimateMillis.milliseconds
     val key get() = RunKey(task, number)
     val isKnownStarted get() = confirmedAt != null
 
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/RunDesk.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/RunDesk.kt
@@ -4,6 +4,7 @@
 import io.bluebellramp.core.JobId
 import io.bluebellramp.core.TargetId
 import io.bluebellramp.core.ZoneId
+import io.bluebellramp.messages.QueueWork
 import io.bluebellramp.messages.RoomReport
 import io.bluebellramp.messages.StepDispatch
 import io.bluebellramp.messages.TaskEvent
@@ -49,6 +50,7 @@
     private val queue = RunQueue<Run>()
     private val lastNumbers = LastNumbers()
     private val slowness = Slowness()
+    private val failing = FailingShare()
     private var news: TargetNews? = null
     private var zonesOut: Set<ZoneId> = emptySet()
     private var isStopping = false
@@ -100,6 +102,7 @@
     /** Returns the room for the entries. */
     fun room(): RoomReport {
         val known = news ?: return RoomReport(accepting = false)
+        val now = clock.monotonic()
         return RoomReport(
             service = known.service,
             accepting = closedFor == null,
@@ -107,11 +110,9 @@
             memoryMb = known.memoryMb,
             freeMilliCpu = known.milliCpu - usedCpu,
             freeMemoryMb = known.memoryMb - usedMemory,
-            queuedWork =
-                runs.values.sumOf {
-                    if (it.state == RunState.QUEUED) it.dispatch.milliCpu * it.dispatch.estimateMillis else 0L
-                },
-            slowness = slowness.value,
+            waiting = queue.waiting(now).map { (name, work) -> QueueWork(name, work) },
+            slowness = slowness.value(now).rounded(),
+            failing = failing.value(now).rounded(),
         )
     }
 
@@ -165,7 +166,7 @@
 
                 else -> {
                     runs[run.task] = run
-                    queue.add(run, dispatch.milliCpu, dispatch.memoryMb, now + dispatch.startWithinMillis.milliseconds)
+                    enqueue(run)
                 }
             }
         }
@@ -205,6 +206,7 @@
         forgetTarget("the target started again")
         lastNumbers.clear()
         slowness.reset()
+        failing.reset()
     }
 
     private fun forgetTarget(reason: String) {
@@ -242,7 +244,7 @@
         val known = news ?: return
         val steady = targetClock ?: return
         while (queue.size > 0) {
-            val run = queue.takeFitting(known.milliCpu - usedCpu, known.memoryMb - usedMemory) ?: return
+            val run = queue.takeFitting(now, known.milliCpu - usedCpu, known.memoryMb - usedMemory) ?: return
             order(run, known, steady.at(now) + lease, now)
         }
     }
@@ -306,8 +308,13 @@
         }
         if (!mayRepeat) return over(run, TaskEvent.NOT_STARTED, refusal.name.lowercase())
         run.state = RunState.QUEUED
-        val startBy = run.receivedAt + run.dispatch.startWithinMillis.milliseconds
-        queue.add(run, run.dispatch.milliCpu, run.dispatch.memoryMb, startBy)
+        enqueue(run)
+    }
+
+    private fun enqueue(run: Run) {
+        val needs = run.dispatch
+        val startBy = run.receivedAt + needs.startWithinMillis.milliseconds
+        queue.add(run, needs.queue, needs.milliCpu, needs.memoryMb, needs.milliCpu * needs.estimateMillis, startBy)
     }
 
     private fun stop(
@@ -384,7 +391,7 @@
             val run = runs[end.run.task]?.takeIf { it.takesRoom && it.number == end.run.number } ?: continue
             ended(run, end.end, now)
         }
-        settle(result.running.toSet(), sentAt)
+        settle(result.running, sentAt, now)
     }
 
     private fun ended(
@@ -395,11 +402,13 @@
         val ran = now - run.orderedAt
         when (end) {
             RunEnd.DONE -> {
-                slowness.note(ran, run.dispatch.estimateMillis.milliseconds)
+                slowness.ended(now, ran, run.estimate)
+                failing.note(now, failed = false)
                 over(run, TaskEvent.DONE, "", ran)
             }
 
             RunEnd.FAILED -> {
+                failing.note(now, failed = true)
                 over(run, TaskEvent.FAILED, "the run failed", ran)
             }
 
@@ -415,14 +424,15 @@
 
     /** Compares what the target says that it runs with what it should run. */
     private fun settle(
-        running: Set<RunKey>,
+        running: Map<RunKey, Int>,
         sentAt: Duration,
+        now: Duration,
     ) {
         foreign.clear()
-        for (key in running) {
+        for ((key, percent) in running) {
             lastNumbers.saw(key)
             val run = runs[key.task]?.takeIf { it.takesRoom && it.number == key.number }
-            if (run != null) confirm(run) else endForeign(key)
+            if (run != null) watch(run, percent, now) else endForeign(key)
         }
         for (run in runs.values.toList()) {
             val settledAt = run.settledAt ?: continue
@@ -438,6 +448,21 @@
         }
     }
 
+    /** Notices a run that stands still or drags. */
+    private fun watch(
+        run: Run,
+        percent: Int,
+        now: Duration,
+    ) {
+        confirm(run)
+        val stood = run.progress(percent, now)
+        val ran = now - run.orderedAt
+        if (percent > 0) slowness.drags(now, ran * PERCENT_WHOLE / percent, run.estimate)
+        if (run.state != RunState.RUNNING || stood < maxOf(LEAST_STANDSTILL, run.estimate * STANDSTILL_SHARE)) return
+        failing.note(now, failed = true)
+        stop(run, "it stands still at $percent%")
+    }
+
     private fun endForeign(key: RunKey) {
         foreign += key
         val known = news ?: return
@@ -501,5 +526,17 @@
         const val MOST_REPEATS = 5
         const val FENCE_STEP = 1000L
         val NO_JOB = JobId("")
+
+        /** A run whose progress is the same for this long stands still; lists come every 150 ms at least. */
+        val LEAST_STANDSTILL = 320.milliseconds
+
+        /** The same as a share of the estimate, which may be too small by half: progress is told in whole percent. */
+        const val STANDSTILL_SHARE = 0.2
+        const val PERCENT_WHOLE = 100
+
+        /** Rates in reports have two digits, so that a report is news only when they change. */
+        const val RATE_DIGITS = 100.0
+
+        fun Double.rounded() = Math.round(this * RATE_DIGITS) / RATE_DIGITS
     }
 }
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/TargetPort.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/TargetPort.kt
@@ -89,13 +89,13 @@
 sealed interface LeaseResult {
     /**
      * @property clock the target's steady clock when it answered
-     * @property running the runs that are there
+     * @property running the runs that are there, with how far each is (0 to 100)
      * @property ended ends that were not acknowledged yet, oldest first
      */
     data class Listed(
         val life: Long?,
         val clock: Duration,
-        val running: List<RunKey>,
+        val running: Map<RunKey, Int>,
         val ended: List<ListedEnd>,
     ) : LeaseResult
 
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/Fakes.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/Fakes.kt
@@ -5,6 +5,7 @@
 import io.bluebellramp.core.ServiceId
 import io.bluebellramp.core.TargetId
 import io.bluebellramp.messages.Queue
+import io.bluebellramp.messages.QueueWork
 import io.bluebellramp.messages.RoomReport
 import io.bluebellramp.messages.StepDispatch
 import io.bluebellramp.messages.TaskReport
@@ -58,7 +59,7 @@
     memoryMb = 10_000,
     freeMilliCpu = free,
     freeMemoryMb = 10_000,
-    queuedWork = queued,
+    waiting = listOf(QueueWork(QUEUE.name, queued)),
     received = received,
 )
 
@@ -161,9 +162,10 @@
     /** Answers the lease that is open. */
     fun list(
         running: List<RunKey> = emptyList(),
+        percent: Int = 0,
         ended: List<Pair<RunKey, RunEnd>> = emptyList(),
     ) {
         val listed = ended.map { (run, end) -> ListedEnd(++ends, run, end) }
-        leases.last().answer(LeaseResult.Listed(life = 1, clock = clock, running = running, ended = listed))
+        leases.last().answer(LeaseResult.Listed(life = 1, clock = clock, running = running.associateWith { percent }, ended = listed))
     }
 }
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/RunDeskTest.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/RunDeskTest.kt
@@ -35,11 +35,13 @@
         job: String = "00000000000000a1",
         milliCpu: Int = 4000,
         attempt: Int = 1,
+        queue: String = QUEUE.name,
     ) = StepDispatch(
         job = JobId(job),
         step = 0,
         tasks = List(tasks) { it },
         attempt = attempt,
+        queue = queue,
         service = SERVICE,
         milliCpu = milliCpu,
         memoryMb = 10,
@@ -221,6 +223,50 @@
         }
     }
 
+    @Nested
+    inner class TroubledTargets {
+        private fun listEvery(
+            times: Int,
+            run: RunKey,
+            percent: (Int) -> Int,
+        ) = repeat(times) {
+            clock.pass(100.milliseconds)
+            target.list(running = listOf(run), percent = percent(it))
+        }
+
+        @Test
+        fun `a run that stands still is stopped and given back`() {
+            reach()
+            desk.dispatch(entry, dispatch())
+            val run = started()
+            listEvery(5, run) { 30 }
+            assertEquals(listOf(run), target.stops.map { it.run })
+            assertTrue(desk.room().failing > 0.2)
+        }
+
+        @Test
+        fun `a run that goes on slowly is left alone, and the target is told to be slow`() {
+            reach()
+            desk.dispatch(entry, dispatch())
+            val run = started()
+            listEvery(8, run) { 10 + it }
+            assertEquals(emptyList(), target.stops)
+            assertTrue(desk.room().slowness > 1.5, "${desk.room().slowness}")
+        }
+
+        @Test
+        fun `a target that fails what it starts is told to fail, until some time has passed`() {
+            reach()
+            repeat(4) {
+                desk.dispatch(entry, dispatch(attempt = it + 1))
+                target.list(ended = listOf(started() to RunEnd.FAILED))
+            }
+            assertTrue(desk.room().failing > 0.7)
+            clock.pass(8.seconds)
+            assertTrue(desk.room().failing < 0.1)
+        }
+    }
+
     @Nested
     inner class Owners {
         @Test
--- a/messages/src/main/kotlin/io/bluebellramp/messages/RoomReport.kt
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/RoomReport.kt
@@ -17,10 +17,12 @@
     val freeMilliCpu: Int = 0,
     /** Memory that is not in use (MB). */
     val freeMemoryMb: Int = 0,
-    /** Work of the tasks that wait (thousandths of a core times ms). */
-    val queuedWork: Long = 0,
+    /** Work that waits, by queue, in the order in which the queues get the next free room. */
+    val waiting: List<QueueWork> = emptyList(),
     /** Run time over the estimate for recent tasks. */
     val slowness: Double = 1.0,
+    /** Share of recent tasks that failed or stood still. */
+    val failing: Double = 0.0,
     /** Tasks received from this entry on this link. */
     val received: Long = 0,
 )
--- a/messages/src/main/kotlin/io/bluebellramp/messages/StepDispatch.kt
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/StepDispatch.kt
@@ -13,6 +13,8 @@
     val tasks: List<Int>,
     /** Number of the attempt from 1. */
     val attempt: Int,
+    /** Name of the queue that the job came by. */
+    val queue: String,
     val service: ServiceId,
     /** Processor need of each task (thousandths of a core). */
     val milliCpu: Int,
--- a/placement/src/main/kotlin/io/bluebellramp/placement/RoomView.kt
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/RoomView.kt
@@ -7,8 +7,9 @@
  * What a placement decision knows of the room at one agent.
  *
  * @property freeMilliCpu processor capacity not in use, less what was sent since the report (thousandths of a core; below 0 if more was sent)
- * @property queuedWork work that waits there, with what was sent since the report (thousandths of a core times ms)
+ * @property workAhead work that waits there and goes before a new task, with what was sent since the report (thousandths of a core times ms)
  * @property slowness run time over estimate of recent tasks
+ * @property failing share of recent tasks that failed or stood still
  * @property age time since the report
  */
 data class RoomView<A>(
@@ -16,8 +17,9 @@
     val milliCpu: Int,
     val freeMilliCpu: Int,
     val freeMemoryMb: Int,
-    val queuedWork: Long,
+    val workAhead: Long,
     val slowness: Double,
+    val failing: Double,
     val age: Duration,
 ) {
     /** Returns how long a task that needs [milliCpu] and [memoryMb] is likely to wait here. */
@@ -27,10 +29,13 @@
     ): Duration {
         if (freeMilliCpu >= milliCpu && freeMemoryMb >= memoryMb) return Duration.ZERO
         val missing = (milliCpu - freeMilliCpu).coerceAtLeast(0)
-        val behind = queuedWork + missing * TYPICAL_REMAINING.inWholeMilliseconds
+        val behind = workAhead + missing * TYPICAL_REMAINING.inWholeMilliseconds
         return (behind / this.milliCpu.coerceAtLeast(1)).milliseconds.coerceAtLeast(SHORTEST_WAIT)
     }
 
+    /** Returns how long a task of [estimate] is likely to take here, with the runs that fail before it. */
+    fun expectedRun(estimate: Duration): Duration = estimate * (slowness / (1.0 - failing.coerceIn(0.0, MOST_FAILING)))
+
     /** Tells whether a task with these needs could ever run here. */
     fun canHold(milliCpu: Int) = milliCpu <= this.milliCpu
 
@@ -40,5 +45,8 @@
 
         /** A full target frees room in steps; this is one of them. */
         val SHORTEST_WAIT = 10.milliseconds
+
+        /** A target that fails everything counts as twenty times as slow: it is tried last, but tried. */
+        const val MOST_FAILING = 0.95
     }
 }
--- a/placement/src/main/kotlin/io/bluebellramp/placement/TaskSpreader.kt
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/TaskSpreader.kt
@@ -29,7 +29,7 @@
     ): Choice<A>? {
         val choices =
             views.filter { it.canHold(milliCpu) }.map {
-                it to Choice(it.agent, it.expectedWait(milliCpu, memoryMb), estimate * it.slowness)
+                it to Choice(it.agent, it.expectedWait(milliCpu, memoryMb), it.expectedRun(estimate))
             }
         if (choices.isEmpty()) return null
         val best = choices.minOf { it.second.end }
--- a/placement/src/test/kotlin/io/bluebellramp/placement/RoomPoliciesTest.kt
+++ b/placement/src/test/kotlin/io/bluebellramp/placement/RoomPoliciesTest.kt
@@ -9,6 +9,7 @@
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 class RoomPoliciesTest {
     private fun view(
@@ -16,7 +17,8 @@
         free: Int,
         queued: Long = 0,
         slowness: Double = 1.0,
-    ) = RoomView(agent, 32_000, free, 10_000, queued, slowness, Duration.ZERO)
+        failing: Double = 0.0,
+    ) = RoomView(agent, 32_000, free, 10_000, queued, slowness, failing, Duration.ZERO)
 
     @Nested
     inner class Spreading {
@@ -41,6 +43,11 @@
             assertEquals(setOf("b"), shares(listOf(view("a", 30_000, slowness = 5.0), view("b", 4000))).keys)
         }
 
+        @Test
+        fun `an agent that fails what it starts is left alone while others have room`() {
+            assertEquals(setOf("b"), shares(listOf(view("a", 30_000, failing = 0.8), view("b", 4000))).keys)
+        }
+
         @Test
         fun `a task larger than every agent has no place`() {
             assertNull(spreader.choose(listOf(view("a", 32_000)), 40_000, 64, 100.milliseconds))
@@ -65,28 +72,51 @@
     @Nested
     inner class Waiting {
         private val queue = RunQueue<String>()
+        private val now = 10.seconds
+
+        private fun add(
+            task: String,
+            by: Duration = 100.milliseconds,
+            kind: String = "q",
+            milliCpu: Int = 1000,
+        ) = queue.add(task, kind, milliCpu, 1, work = milliCpu * 100L, startBy = now + by)
 
         @Test
         fun `the task whose latest start comes first goes first`() {
-            queue.add("late", 1000, 1, 300.milliseconds)
-            queue.add("soon", 1000, 1, 100.milliseconds)
-            assertEquals("soon", queue.takeFitting(1000, 1))
+            add("late", by = 300.milliseconds)
+            add("soon", by = 100.milliseconds)
+            assertEquals("soon", queue.takeFitting(now, 1000, 1))
         }
 
         @Test
         fun `a task that does not fit lets a smaller one pass`() {
-            queue.add("large", 9000, 1, 100.milliseconds)
-            queue.add("small", 1000, 1, 300.milliseconds)
-            assertEquals("small", queue.takeFitting(2000, 1))
-            assertNull(queue.takeFitting(2000, 1))
+            add("large", milliCpu = 9000)
+            add("small", by = 300.milliseconds)
+            assertEquals("small", queue.takeFitting(now, 2000, 1))
+            assertNull(queue.takeFitting(now, 2000, 1))
         }
 
         @Test
         fun `tasks whose latest start has passed are given back`() {
-            queue.add("late", 1000, 1, 300.milliseconds)
-            queue.add("soon", 1000, 1, 100.milliseconds)
-            assertEquals(listOf("soon"), queue.takeExpired(200.milliseconds))
+            add("late", by = 300.milliseconds)
+            add("soon", by = 100.milliseconds)
+            assertEquals(listOf("soon"), queue.takeExpired(now + 200.milliseconds))
             assertEquals(1, queue.size)
         }
+
+        @Test
+        fun `a kind of request that asks for more than its share crowds no other out`() {
+            repeat(90) { add("many", kind = "many") }
+            repeat(10) { add("few", by = 500.milliseconds, kind = "few") }
+            val taken = List(30) { queue.takeFitting(now, 1000, 1) }
+            assertEquals(10, taken.count { it == "few" }, "$taken")
+            assertEquals("many", queue.waiting(now).first { it.second > 0 }.first)
+        }
+
+        @Test
+        fun `room that other kinds leave goes to the one that asks for it`() {
+            repeat(5) { add("many", kind = "many") }
+            assertEquals(List(5) { "many" }, List(5) { queue.takeFitting(now, 1000, 1) })
+        }
     }
 }
--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/JsonLines.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/JsonLines.kt
@@ -23,6 +23,10 @@
     private val capacity: Int = CAPACITY,
     private val now: () -> Instant = Instant::now,
 ) {
+    /** Name of the VM that each line carries, once it is known. */
+    @Volatile
+    var node: String = ""
+
     private val waiting = ArrayBlockingQueue<String>(capacity)
     private val dropped = AtomicLong()
 
@@ -82,6 +86,7 @@
             .append(level)
             .append("\",\"message\":")
         text.append(quoted(message))
+        if (node.isNotEmpty()) text.append(",\"node\":").append(quoted(node))
         for ((name, value) in fields) {
             val content = value.toString()
             if (content.isEmpty()) continue
