SIGHUP reads the settings again; control tells its state only once it is current

Ruled out: a regress within one life of an entry (it takes higher indexes only). Change: runServer handles SIGHUP (a bad file changes nothing and is logged); seeds are taken over; ControlNode tells its state once the log that its leader has was applied.

--- a/cli/src/main/kotlin/io/bluebellramp/cli/ExplainCommand.kt
+++ b/cli/src/main/kotlin/io/bluebellramp/cli/ExplainCommand.kt
@@ -10,7 +10,7 @@
     override fun declare(parser: ArgParser): Action {
         val job by parser.argument(ArgType.String, fullName = "job", description = "Id of the job")
         return Action {
-            val explanation = Explanation.of(job, generateSequence(::readLine))
+            val explanation = Explanation.of(job, generateSequence(::readlnOrNull))
             explanation.lines.forEach(::println)
             println(explanation.cause)
             if (explanation.lines.isEmpty()) ExitCode.REFUSED else ExitCode.OK
--- a/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
@@ -13,6 +13,7 @@
 import io.bluebellramp.messages.ProcessHello
 import io.bluebellramp.messages.ProcessRole
 import io.bluebellramp.messages.SharedState
+import io.bluebellramp.replication.LogStatus
 import io.bluebellramp.replication.ProposalResult
 import io.bluebellramp.replication.Role
 import io.bluebellramp.runtime.Decision
@@ -62,7 +63,7 @@
     private val clock: Clock,
 ) : AutoCloseable {
     private val self = LinkPorts.control(settings, settings.host)
-    private val seeds = settings.seeds.map { LinkPorts.control(settings, it.host) }
+    private var seeds = settings.seeds.map { LinkPorts.control(settings, it.host) }
     private val incarnation = IncarnationId.next()
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val dialers = HashMap<Address, FrameDialer>()
@@ -73,6 +74,9 @@
     private var state: SharedState? = null
     private var directory = Directory(emptyList(), emptyList())
     private var leadsSince: Duration? = null
+
+    /** True once the whole log that a leader has was applied. */
+    private var isCurrent = false
     private var isChanging = false
     private var absentSince: Duration? = null
     private val log =
@@ -104,6 +108,11 @@
      */
     suspend fun read(): OperatorResult = propose(CatalogCommand())
 
+    /** Looks for the others at [next] too. */
+    fun useSeeds(next: List<Address>) {
+        seeds = next.map { LinkPorts.control(settings, it.host) }
+    }
+
     override fun close() {
         scope.cancel()
         log.close()
@@ -138,10 +147,22 @@
         state = next
         val number = next.catalog?.number ?: "none"
         logDecision(Decision(kind = "state", reason = "index ${next.index}: catalog $number, zones out ${next.zonesOut}"))
-        val text = stateFrame(next)
+        tellState()
+    }
+
+    private fun tellState() {
+        val known = state?.takeIf { isCurrent } ?: return
+        val text = stateFrame(known)
         processes.keys.forEach { it.send(text) }
     }
 
+    /** After a start the log is applied from its snapshot on; nobody is told what was in force long ago. */
+    private fun noteCurrent(status: LogStatus?) {
+        if (isCurrent || status == null) return
+        isCurrent = status.leader != null && status.appliedIndex > 0 && status.appliedIndex == status.lastIndex
+        tellState()
+    }
+
     /** The operator's text stays here; the other processes need its queues only. */
     private fun stateFrame(state: SharedState) =
         WireJson.encodeToString(ControlFrame(state = state.copy(catalog = state.catalog?.copy(document = ""))))
@@ -149,6 +170,7 @@
     private fun tick() {
         val now = clock.monotonic()
         val status = log.member?.status()
+        noteCurrent(status)
         val members = status?.membership?.let { it.voters + it.learners }.orEmpty()
         val addresses = (members.map { it.address } + seeds).toSet() - self
         (addresses - dialers.keys).forEach { dial(it) }
@@ -261,7 +283,7 @@
         ) {
             processes[link] = hello
             logDecision(Decision(kind = "process_seen", reason = "${hello.role.name.lowercase()} ${hello.node} at ${hello.address}"))
-            state?.let { link.send(stateFrame(it)) }
+            state?.takeIf { isCurrent }?.let { link.send(stateFrame(it)) }
             link.send(WireJson.encodeToString(ControlFrame(directory = directory)))
         }
     }
@@ -288,7 +310,7 @@
     }
 
     private companion object {
-        val TICK = 50.milliseconds
+        val TICK = 20.milliseconds
         val BEAT_PERIOD = 400.milliseconds
 
         /** A link without a frame for this long is taken for lost: four beats. */
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/AgentNode.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/AgentNode.kt
@@ -84,6 +84,9 @@
     /** A later agent of the same VM has a greater fence, unless the time of day stepped back; then the target tells. */
     private fun firstFence() = clock.wall().epochSecond - FENCE_EPOCH
 
+    /** Looks for control at [seeds] from now on. */
+    fun useSeeds(seeds: List<Address>) = control.useSeeds(seeds)
+
     private fun take(state: SharedState) = desk.setZonesOut(state.zonesOut.toSet())
 
     private fun tick() {
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
@@ -1,5 +1,6 @@
 package io.bluebellramp.jobs.node
 
+import io.bluebellramp.core.Address
 import io.bluebellramp.core.Clock
 import io.bluebellramp.core.IncarnationId
 import io.bluebellramp.core.JobId
@@ -99,6 +100,9 @@
     /** Ends what is left. */
     fun endAll() = desk.endAll()
 
+    /** Looks for control at [seeds] from now on. */
+    fun useSeeds(seeds: List<Address>) = control.useSeeds(seeds)
+
     private fun take(state: SharedState) = desk.setZonesOut(state.zonesOut.toSet())
 
     private fun tick() {
--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/Program.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/Program.kt
@@ -6,6 +6,7 @@
 import sun.misc.Signal
 import java.nio.file.Path
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicReference
 import kotlin.system.exitProcess
 
 /** Exit codes of every program. */
@@ -40,6 +41,7 @@
  * @param logFolder tells the folder of the log file from the settings, or null for a log on the console
  * @param instance tells what sets this process apart from others of the same program, for the name of its log file
  * @param queuesLog false if the program bounds by itself what waits to be logged, see [configureLogging]
+ * @param onReload called with the settings read again after SIGHUP; a file that is not valid is logged and changes nothing
  * @param start starts the program and returns once it listens
  */
 fun <T> runServer(
@@ -49,6 +51,7 @@
     logFolder: (T) -> String?,
     instance: (T) -> Any,
     queuesLog: Boolean = true,
+    onReload: (RunningProgram, T) -> Unit = { _, _ -> },
     start: (T) -> RunningProgram,
 ) {
     if ("--version" in args) {
@@ -71,7 +74,25 @@
         println("$file: no errors")
         exitProcess(ExitCode.OK)
     }
-    serve(name) { start(settings) }
+    serve(name, reload = { program -> reload(reader, Path.of(file)) { onReload(program, it) } }) { start(settings) }
+}
+
+private fun <T> reload(
+    reader: SettingsReader<T>,
+    file: Path,
+    use: (T) -> Unit,
+) {
+    when (val result = reader.read(file)) {
+        is SettingsResult.Valid -> {
+            logDecision(Decision(kind = "reload", reason = "the settings were read again"))
+            use(result.settings)
+        }
+
+        is SettingsResult.Invalid -> {
+            val reason = result.violations.joinToString("; ") { it.wording() }
+            logDecision(Decision(kind = "reload_refused", reason = "the settings stay as they were: $reason"))
+        }
+    }
 }
 
 private fun logFile(
@@ -90,10 +111,14 @@
 
 private fun serve(
     name: String,
+    reload: (RunningProgram) -> Unit,
     start: () -> RunningProgram,
 ) {
     val stopRequested = CountDownLatch(1)
+    val running = AtomicReference<RunningProgram>()
     listOf("TERM", "INT").forEach { signal -> Signal.handle(Signal(signal)) { stopRequested.countDown() } }
+    // Without a handler SIGHUP ends the process.
+    Signal.handle(Signal("HUP")) { running.get()?.let(reload) }
     val program =
         try {
             start()
@@ -101,6 +126,7 @@
             System.err.println("$name: ${e.message ?: e.javaClass.simpleName}")
             exitProcess(ExitCode.FAILED)
         }
+    running.set(program)
     stopRequested.await()
     program.stop()
     exitProcess(ExitCode.OK)
--- a/transport/src/main/kotlin/io/bluebellramp/transport/ControlLinks.kt
+++ b/transport/src/main/kotlin/io/bluebellramp/transport/ControlLinks.kt
@@ -29,7 +29,7 @@
     private val hello: ProcessHello,
     private val onState: (SharedState) -> Unit,
 ) {
-    private val seeds = settings.seeds.map { LinkPorts.control(settings, it.host) }
+    private var seeds = settings.seeds.map { LinkPorts.control(settings, it.host) }
     private val dialers = HashMap<Address, FrameDialer>()
     private val namedAt = HashMap<Address, Duration>()
     private val directories = HashMap<Address, Directory>()
@@ -52,6 +52,11 @@
         loop.every(TICK) { tick() }
     }
 
+    /** Looks for control at [next] too; processes that are known already stay known. */
+    fun useSeeds(next: List<Address>) {
+        seeds = next.map { LinkPorts.control(settings, it.host) }
+    }
+
     private fun tick() {
         val now = clock.monotonic()
         val named = directories.values.flatMap { it.controls }.map { it.address }
