--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/AgentRoom.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/AgentRoom.kt
@@ -48,6 +48,9 @@
         zonesOut: Set<ZoneId>,
     ) = report.accepting && report.service == service && zone !in zonesOut
 
+    /** True if the agent said last that new tasks may start. */
+    val isAccepting get() = report.accepting
+
     /** Time since the last report. */
     fun age(now: Duration) = now - reportedAt
 
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/JobDesk.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/JobDesk.kt
@@ -159,6 +159,8 @@
 
             TaskEvent.NOT_STARTED -> {
                 back(job, task, link, report)
+                // A target that was only full is as good as any other next time.
+                if (rooms[link]?.isAccepting == true) task.avoided -= link
             }
         }
         advance(job)
@@ -234,7 +236,7 @@
             val latest = latestStart(job, body)
             if (now > latest) return end(job, Ending.Hopeless("no room in time", SHORT_RETRY))
             val chosen = choose(job, body, waiting, now, latest)
-            chosen.forEach { (link, tasks) -> send(job, link, step, tasks, latest - now) }
+            chosen.forEach { (link, tasks) -> send(job, link, step, tasks, minOf(latest - now, LONGEST_WAIT)) }
         }
     }
 
@@ -299,6 +301,7 @@
                     spec = job.request.spec,
                     priority = job.request.queue.priority,
                     startWithinMillis = window.inWholeMilliseconds.coerceAtLeast(1),
+                    dueWithinMillis = (job.dueAt - body.estimate - now).inWholeMilliseconds,
                 )
             val age = room.age(now)
             room.note(dispatch)
@@ -426,6 +429,12 @@
         /** An answer up to three times the objective is late but of use, by the users' rules. */
         const val LATE_FACTOR = 3
 
+        /**
+         * Longest time that a task waits at one agent before it is placed again by what is known then. Short against the slack of a short
+         * job; long against the age of a report.
+         */
+        val LONGEST_WAIT = 70.milliseconds
+
         /** Shortest time to find room for a job whose estimate exceeds its objective. */
         val LEAST_WINDOW = 50.milliseconds
         val SHORT_RETRY = 1.seconds
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/RunDesk.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/RunDesk.kt
@@ -234,7 +234,7 @@
         if (closed != null) {
             queue.removeAll { true }.forEach { notStarted(it, closed) }
         } else {
-            queue.takeExpired(now).forEach { notStarted(it, "no room in time") }
+            queue.takeExpired(now).forEach { notStarted(it, NO_ROOM) }
             if (foreign.isEmpty()) startFitting(now)
         }
         outputs.roomChanged()
@@ -314,7 +314,8 @@
     private fun enqueue(run: Run) {
         val needs = run.dispatch
         val startBy = run.receivedAt + needs.startWithinMillis.milliseconds
-        queue.add(run, needs.queue, needs.milliCpu, needs.memoryMb, needs.milliCpu * needs.estimateMillis, startBy)
+        val dueAt = run.receivedAt + needs.dueWithinMillis.milliseconds
+        queue.add(run, needs.queue, needs.milliCpu, needs.memoryMb, needs.milliCpu * needs.estimateMillis, startBy, dueAt)
     }
 
     private fun stop(
@@ -526,6 +527,7 @@
         const val MOST_REPEATS = 5
         const val FENCE_STEP = 1000L
         val NO_JOB = JobId("")
+        const val NO_ROOM = "no room in time"
 
         /** A run whose progress is the same for this long stands still; lists come every 150 ms at least. */
         val LEAST_STANDSTILL = 320.milliseconds
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
@@ -170,8 +170,9 @@
             val frame = WireJson.decodeFromString<ReportFrame>(text)
             frame.hello?.let { welcome(link, it) }
             val id = linkIds[link] ?: return
-            frame.outcomes.forEach { desk.report(id, it) }
+            // The room goes first: tasks that come back are placed by it.
             frame.room?.let { desk.room(id, it) }
+            frame.outcomes.forEach { desk.report(id, it) }
         }
 
         override fun onClosed(link: FrameLink) {
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/JobDeskTest.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/JobDeskTest.kt
@@ -134,6 +134,40 @@
         }
     }
 
+    @Nested
+    inner class FullTargets {
+        @Test
+        fun `a task that found no room at one agent is placed by the newest reports, and keeps its place in the order`() {
+            connect(first, second)
+            desk.room(second, room(free = 0, queued = 32_000L * 20))
+            desk.submit(request(), caller)
+            val (link, dispatch) = outputs.dispatches.single()
+            assertEquals(first, link)
+            clock.pass(70.milliseconds)
+            desk.room(first, room(free = 0, queued = 32_000L * 90, received = 1))
+            desk.room(second, room())
+            report(first, dispatch, TaskEvent.NOT_STARTED)
+            val (next, again) = outputs.dispatches.last()
+            assertEquals(second, next)
+            assertEquals(dispatch.dueWithinMillis - 70, again.dueWithinMillis)
+        }
+
+        @Test
+        fun `the last tasks of a job that is late go before those of others`() {
+            connect(first)
+            desk.submit(request(tasks = 2, estimate = 300.milliseconds), caller)
+            val dispatch = outputs.dispatches.single().second
+            report(first, dispatch, TaskEvent.STARTED, task = 0)
+            clock.pass(400.milliseconds)
+            report(first, dispatch, TaskEvent.NOT_STARTED, task = 1)
+            assertTrue(
+                outputs.dispatches
+                    .last()
+                    .second.dueWithinMillis < 0,
+            )
+        }
+    }
+
     @Nested
     inner class NoTwoRunsAtOnce {
         @Test
--- a/messages/src/main/kotlin/io/bluebellramp/messages/StepDispatch.kt
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/StepDispatch.kt
@@ -22,10 +22,12 @@
     val memoryMb: Int,
     /** What the target runs. */
     val spec: String,
-    /** Time after which a start is of no use (ms). */
+    /** Time after which the tasks that have not started are given back (ms). */
     val startWithinMillis: Long,
     /** The caller's estimate of the run time (ms). */
     val estimateMillis: Long = 0,
     /** Priority of the queue. */
     val priority: Int = 0,
+    /** Time until the latest start with which the job ends in time (ms); below 0 once it is late. Orders the tasks of a queue. */
+    val dueWithinMillis: Long = 0,
 )
--- a/placement/src/main/kotlin/io/bluebellramp/placement/RunQueue.kt
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/RunQueue.kt
@@ -8,7 +8,7 @@
  * Tasks that wait for room at one target, in a line for each queue that they came by.
  *
  * Answers overload: free room goes to the line whose queue was given least work lately, so a kind of request that asks for more than its
- * share of the target waits for the rest and crowds nobody out. In a line the task whose latest useful start comes first goes first. A task
+ * share of the target waits for the rest and crowds nobody out. In a line the task whose latest start in time comes first goes first. A task
  * that does not fit into the free room lets smaller ones pass, so that no room stays empty.
  */
 class RunQueue<T> {
@@ -18,6 +18,7 @@
         val memoryMb: Int,
         val work: Long,
         val startBy: Duration,
+        val dueAt: Duration,
         val order: Long,
     )
 
@@ -43,8 +44,9 @@
     val size: Int get() = lines.values.sumOf { it.items.size }
 
     /**
-     * Adds [task] of [queue], whose start after [startBy] is of no use.
+     * Adds [task] of [queue], which is given back after [startBy].
      *
+     * @param dueAt latest start with which its job ends in time; the task with the earliest goes first
      * @param work processor need times expected run time
      */
     fun add(
@@ -54,10 +56,11 @@
         memoryMb: Int,
         work: Long,
         startBy: Duration,
+        dueAt: Duration = startBy,
     ) {
-        val item = Item(task, milliCpu, memoryMb, work, startBy, added++)
+        val item = Item(task, milliCpu, memoryMb, work, startBy, dueAt, added++)
         val items = lines.getOrPut(queue) { Line() }.items
-        val found = items.binarySearch(item, compareBy<Item<T>> { it.startBy }.thenBy { it.order })
+        val found = items.binarySearch(item, compareBy<Item<T>> { it.dueAt }.thenBy { it.order })
         items.add(if (found < 0) -found - 1 else found, item)
     }
 
@@ -80,7 +83,7 @@
     /** Returns the work that waits by queue, in the order in which the queues get the next free room. */
     fun waiting(now: Duration): List<Pair<String, Long>> = inOrder(now).map { (name, line) -> name to line.items.sumOf { it.work } }
 
-    /** Removes and returns the tasks whose latest start has passed. */
+    /** Removes and returns the tasks that have waited too long. */
     fun takeExpired(now: Duration): List<T> = remove { it.startBy < now }
 
     /** Removes and returns the tasks that match [predicate]. */
--- a/placement/src/test/kotlin/io/bluebellramp/placement/RoomPoliciesTest.kt
+++ b/placement/src/test/kotlin/io/bluebellramp/placement/RoomPoliciesTest.kt
@@ -97,7 +97,7 @@
         }
 
         @Test
-        fun `tasks whose latest start has passed are given back`() {
+        fun `tasks that have waited too long are given back`() {
             add("late", by = 300.milliseconds)
             add("soon", by = 100.milliseconds)
             assertEquals(listOf("soon"), queue.takeExpired(now + 200.milliseconds))
