The agent's notice of slow, failing and standing targets is a class of its own

Cause: RunDesk had grown past what a newcomer reads at once. Change: TargetTrouble; what a run reports is said by Run. No change of behaviour.

--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/Run.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/Run.kt
@@ -1,6 +1,8 @@
 package io.bluebellramp.jobs
 
 import io.bluebellramp.messages.StepDispatch
+import io.bluebellramp.messages.TaskEvent
+import io.bluebellramp.messages.TaskReport
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -81,4 +83,15 @@
                 RunState.QUEUED, RunState.STARTING -> null
             }
     val takesRoom get() = state != RunState.QUEUED
+
+    /** Returns what to tell the entry. */
+    fun report(
+        event: TaskEvent,
+        reason: String = "",
+        ran: Duration = Duration.ZERO,
+    ) = TaskReport(task.job, task.step, task.index, dispatch.attempt, event, reason, ran.inWholeMilliseconds)
+
+    /** What happened when the run is over although the target did not list its end. */
+    val unlistedEnd: TaskEvent
+        get() = if (isKnownStarted || state != RunState.STOPPING) TaskEvent.STOPPED else TaskEvent.NOT_STARTED
 }
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/RunDesk.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/RunDesk.kt
@@ -49,8 +49,7 @@
     private val runs = HashMap<TaskKey, Run>()
     private val queue = RunQueue<Run>()
     private val lastNumbers = LastNumbers()
-    private val slowness = Slowness()
-    private val failing = FailingShare()
+    private val trouble = TargetTrouble()
     private var news: TargetNews? = null
     private var zonesOut: Set<ZoneId> = emptySet()
     private var isStopping = false
@@ -111,8 +110,8 @@
             freeMilliCpu = known.milliCpu - usedCpu,
             freeMemoryMb = known.memoryMb - usedMemory,
             waiting = queue.waiting(now).map { (name, work) -> QueueWork(name, work) },
-            slowness = slowness.value(now).rounded(),
-            failing = failing.value(now).rounded(),
+            slowness = trouble.slowness(now),
+            failing = trouble.failing(now),
         )
     }
 
@@ -205,8 +204,7 @@
         note("target_seen", null, "target" to next.id, "life" to next.life, "cpu" to next.milliCpu)
         forgetTarget("the target started again")
         lastNumbers.clear()
-        slowness.reset()
-        failing.reset()
+        trouble.reset()
     }
 
     private fun forgetTarget(reason: String) {
@@ -403,13 +401,12 @@
         val ran = now - run.orderedAt
         when (end) {
             RunEnd.DONE -> {
-                slowness.ended(now, ran, run.estimate)
-                failing.note(now, failed = false)
+                trouble.done(run, ran, now)
                 over(run, TaskEvent.DONE, "", ran)
             }
 
             RunEnd.FAILED -> {
-                failing.note(now, failed = true)
+                trouble.failed(now)
                 over(run, TaskEvent.FAILED, "the run failed", ran)
             }
 
@@ -442,7 +439,7 @@
                 // An order that got no answer and is not there may still come: stopping it bars it.
                 RunState.UNSURE -> stop(run, "the order to start got no answer")
 
-                RunState.STOPPING -> over(run, run.lastEvent(), run.reason)
+                RunState.STOPPING -> over(run, run.unlistedEnd, run.reason)
 
                 else -> stop(run, "the target does not know the run")
             }
@@ -456,11 +453,7 @@
         now: Duration,
     ) {
         confirm(run)
-        val stood = run.progress(percent, now)
-        val ran = now - run.orderedAt
-        if (percent > 0) slowness.drags(now, ran * PERCENT_WHOLE / percent, run.estimate)
-        if (run.state != RunState.RUNNING || stood < maxOf(LEAST_STANDSTILL, run.estimate * STANDSTILL_SHARE)) return
-        failing.note(now, failed = true)
+        if (!trouble.standsStill(run, percent, now)) return
         stop(run, "it stands still at $percent%")
     }
 
@@ -472,11 +465,9 @@
 
     /** The target has not been heard for longer than every lease lasts. */
     private fun endLapsed() {
-        runs.values.filter { it.takesRoom }.forEach { over(it, it.lastEvent(), "its lease ran out unseen") }
+        runs.values.filter { it.takesRoom }.forEach { over(it, it.unlistedEnd, "its lease ran out unseen") }
     }
 
-    private fun Run.lastEvent() = if (isKnownStarted || state != RunState.STOPPING) TaskEvent.STOPPED else TaskEvent.NOT_STARTED
-
     private fun over(
         run: Run,
         event: TaskEvent,
@@ -497,12 +488,6 @@
         outputs.report(run.owner, run.report(TaskEvent.NOT_STARTED, reason))
     }
 
-    private fun Run.report(
-        event: TaskEvent,
-        reason: String = "",
-        ran: Duration = Duration.ZERO,
-    ) = TaskReport(task.job, task.step, task.index, dispatch.attempt, event, reason, ran.inWholeMilliseconds)
-
     private fun note(
         kind: String,
         run: Run?,
@@ -528,17 +513,5 @@
         const val FENCE_STEP = 1000L
         val NO_JOB = JobId("")
         const val NO_ROOM = "no room in time"
-
-        /** A run whose progress is the same for this long stands still; lists come every 150 ms at least. */
-        val LEAST_STANDSTILL = 320.milliseconds
-
-        /** The same as a share of the estimate, which may be too small by half: progress is told in whole percent. */
-        const val STANDSTILL_SHARE = 0.2
-        const val PERCENT_WHOLE = 100
-
-        /** Rates in reports have two digits, so that a report is news only when they change. */
-        const val RATE_DIGITS = 100.0
-
-        fun Double.rounded() = Math.round(this * RATE_DIGITS) / RATE_DIGITS
     }
 }
