--- a/replication/src/main/kotlin/io/bluebellramp/replication/Elections.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/Elections.kt
@@ -11,17 +11,26 @@
 internal class Elections(
     private val state: MemberState,
     private val random: Random,
+    started: Duration,
     private val onElected: (Duration) -> Unit,
 ) {
     private val granted = HashSet<MemberId>()
     private var isTrial = true
 
+    /** Elections since the start, as long as no leader was heard and each may follow soon; null from then on. */
+    private var startAttempts: Int? = if (state.settings.electsAtStart) 0 else null
+
     /** When the next election is due. */
-    var due = nextDeadline(state.heardAt)
+    var due = nextDeadline(started)
         private set
 
-    /** A leader was heard, or a vote given: the next election is not due before an election time has passed. */
-    fun postpone(now: Duration) {
+    /** A leader was heard: the next election is not due before an election time has passed. */
+    fun heard(now: Duration) {
+        startAttempts = null
+        postpone(now)
+    }
+
+    private fun postpone(now: Duration) {
         due = nextDeadline(now)
     }
 
@@ -122,5 +131,16 @@
         request.lastTerm > state.log.lastTerm ||
             (request.lastTerm == state.log.lastTerm && request.lastIndex >= state.log.lastIndex)
 
-    private fun nextDeadline(now: Duration) = now + state.settings.election * (1.0 + random.nextDouble())
+    private fun nextDeadline(now: Duration): Duration {
+        val election = state.settings.election
+        val attempt = startAttempts ?: return now + election * (1.0 + random.nextDouble())
+        val span = state.settings.startSpan(attempt)
+        startAttempts = (attempt + 1).takeIf { span < election }
+        return now + span * (LEAST_START + random.nextDouble())
+    }
+
+    private companion object {
+        /** Least part of a span before an election after the start: the links to the others come up meanwhile. */
+        const val LEAST_START = 0.5
+    }
 }
--- a/replication/src/main/kotlin/io/bluebellramp/replication/LogSettings.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/LogSettings.kt
@@ -10,12 +10,15 @@
  * @property heartbeatMillis time between heartbeats of the leader (ms)
  * @property snapshotRecords applied records after which a snapshot replaces them
  * @property snapshotPart longest part of a snapshot in one message (characters)
+ * @property electsAtStart true if a member that has just started may vote and stand at once. Only where nobody reads under the leader's
+ * lease: what a member promised a leader before it ended is forgotten
  */
 data class LogSettings(
     val electionMillis: Long = 400,
     val heartbeatMillis: Long = 125,
     val snapshotRecords: Int = 2000,
     val snapshotPart: Int = 65_536,
+    val electsAtStart: Boolean = false,
 ) {
     internal val election: Duration get() = electionMillis.milliseconds
 
@@ -27,7 +30,13 @@
     /** The lease is shorter than the election time, so that clocks may differ in rate by a twentieth. */
     internal val lease: Duration get() = election * LEASE_SHARE
 
+    /** Returns the span of the chance before the [attempt]th election after a start: short at first, for the members start together. */
+    internal fun startSpan(attempt: Int): Duration = minOf(election, START_SPAN * (1 shl minOf(attempt, MOST_DOUBLINGS)))
+
     private companion object {
+        /** Several round trips and writes to disk, so that two members seldom stand at once. */
+        val START_SPAN = 70.milliseconds
+        const val MOST_DOUBLINGS = 10
         const val LEASE_SHARE = 0.95
     }
 }
--- a/replication/src/main/kotlin/io/bluebellramp/replication/MemberState.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/MemberState.kt
@@ -22,8 +22,8 @@
     var role = Role.FOLLOWER
     var leader: MemberAddress? = null
 
-    /** When this member last heard a leader. It counts from the start, since what it heard before is forgotten. */
-    var heardAt = started
+    /** When this member last heard a leader. Where leases count, it counts from the start, since what it heard before is forgotten. */
+    var heardAt = if (settings.electsAtStart) started - settings.election else started
     var commitIndex = log.snapshotIndex
     var appliedIndex = log.snapshotIndex
 
--- a/replication/src/main/kotlin/io/bluebellramp/replication/RaftCore.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/RaftCore.kt
@@ -24,8 +24,8 @@
 ) {
     private val state = MemberState(self, settings, machine, stored, started)
     private val leader = Leader(state)
-    private val elections = Elections(state, random) { leader.start(it) }
-    private val follower = Follower(state, started) { elections.postpone(it) }
+    private val elections = Elections(state, random, started) { leader.start(it) }
+    private val follower = Follower(state, started) { elections.heard(it) }
     private val changes = MembershipChanges(state, leader)
     private val bootstrap = Founding(state, founding)
 
--- a/replication/src/test/kotlin/io/bluebellramp/replication/RaftCoreTest.kt
+++ b/replication/src/test/kotlin/io/bluebellramp/replication/RaftCoreTest.kt
@@ -50,6 +50,44 @@
         }
     }
 
+    @Nested
+    inner class `members that elect as soon as they start` {
+        private val quick = FakeCluster(Random(SEED), 3, Chaos(0.0, 0.0, 0.0), electsAtStart = true)
+
+        private fun leads() = quick.nodes.values.filter { it.core?.role == Role.LEADER }
+
+        @Test
+        fun `mostly have a leader within half an election time after all of them lost power`() {
+            val quickly =
+                (1..LOSSES).count {
+                    quick.runUntil(quick.now + 3.seconds)
+                    assertEquals(1, leads().size, "no leader before loss $it: ${quick.describe()}")
+                    quick.nodes.values.forEach(quick::crash)
+                    quick.nodes.values.forEach(quick::start)
+                    quick.runUntil(quick.now + 200.milliseconds)
+                    leads().size == 1
+                }
+            // The others met a split vote or one of the slow writes of the fake disks.
+            assertTrue(quickly >= LOSSES * 3 / 4, "$quickly of $LOSSES")
+        }
+
+        @Test
+        fun `leave a living leader alone when one of them starts again`() {
+            quick.runUntil(3.seconds)
+            val leader = leads().single()
+            val term = leader.core?.term
+            val other = quick.nodes.values.first { it !== leader }
+            repeat(10) {
+                quick.crash(other)
+                quick.runUntil(quick.now + 50.milliseconds)
+                quick.start(other)
+                quick.runUntil(quick.now + 500.milliseconds)
+            }
+            assertEquals(leader, leads().single())
+            assertEquals(term, leader.core?.term)
+        }
+    }
+
     @Nested
     inner class `a member that was away for hundreds of changes` {
         @Test
@@ -253,6 +291,7 @@
         const val LONG_COMMAND = 1_100_000
 
         const val SEED = 7L
+        const val LOSSES = 40
         const val CHANGES = 300
     }
 }
--- a/transport/src/main/kotlin/io/bluebellramp/transport/FrameDialer.kt
+++ b/transport/src/main/kotlin/io/bluebellramp/transport/FrameDialer.kt
@@ -22,6 +22,7 @@
     private val listener: LinkListener,
 ) {
     private var isStopped = false
+    private var failures = 0
 
     /** The link, or null while there is none. */
     var link: FrameLink? = null
@@ -53,12 +54,13 @@
             .addListener(ChannelFutureListener { if (!it.isSuccess) redial() })
     }
 
-    private fun redial() = loop.after(REDIAL_PERIOD, ::dial)
+    private fun redial() = loop.after(if (failures++ < QUICK_REDIALS) QUICK_REDIAL_PERIOD else REDIAL_PERIOD, ::dial)
 
     private inner class Tracker : LinkListener {
         override fun onOpen(link: FrameLink) {
             if (isStopped) return link.close()
             this@FrameDialer.link = link
+            failures = 0
             listener.onOpen(link)
         }
 
@@ -79,7 +81,13 @@
         /** Well above the round trip between regions. */
         val CONNECT_TIMEOUT = 500.milliseconds
 
-        /** Short against a restart of a process, long against the cost of a refused connection. */
+        /** After a loss and at the start: the other side is likely to start at the same time, and callers wait. */
+        val QUICK_REDIAL_PERIOD = 40.milliseconds
+
+        /** Covers a restart of the other process. */
+        const val QUICK_REDIALS = 25
+
+        /** Long against the cost of a refused connection. */
         val REDIAL_PERIOD = 200.milliseconds
     }
 }
