--- a/transport/src/main/kotlin/io/bluebellramp/transport/EventLoop.kt
+++ b/transport/src/main/kotlin/io/bluebellramp/transport/EventLoop.kt
@@ -77,6 +77,12 @@
         }
 
     private companion object {
+        init {
+            // Netty would look at every network interface and start the management beans for ids of channels that nobody reads.
+            if (System.getProperty("io.netty.machineId") == null) System.setProperty("io.netty.machineId", "00:00:00:00:00:00")
+            if (System.getProperty("io.netty.processId") == null) System.setProperty("io.netty.processId", "1")
+        }
+
         /** Longest time to end open tasks (ms). */
         const val SHUTDOWN_MILLIS = 200L
 
