--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/JobDesk.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/JobDesk.kt
@@ -42,6 +42,9 @@
     /** Agents that can be reached. */
     val agents: Int get() = rooms.size
 
+    /** Agents that said last that tasks may start. */
+    val openAgents: Int get() = rooms.values.count { it.isAccepting }
+
     /** Returns how many jobs of [queue] have not started anything. */
     fun pending(queue: String): Int = jobs.values.count { it.request.queue.name == queue && it.ending == null && !it.hasStarted }
 
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
@@ -51,12 +51,13 @@
     private var lastLink = 0L
     private var beatAt = Duration.ZERO
     private var isStopping = false
+    private var isListening = false
 
     /** The catalog in force, or null before the first. */
     val catalog: Catalog? get() = control.state?.catalog
 
     /** True while callers are served. */
-    val isReady: Boolean get() = !isStopping && catalog != null && desk.agents > 0
+    val isReady: Boolean get() = !isStopping && catalog != null && desk.openAgents > 0
 
     /** Jobs that are not over. */
     val openJobs: Int get() = desk.openJobs
@@ -64,9 +65,8 @@
     /** Agents that can be reached. */
     val agents: Int get() = desk.agents
 
-    /** Starts to listen and to find control. */
+    /** Starts to find control and to listen. */
     fun start() {
-        server.start()
         control.start()
         loop.every(LinkTiming.TICK) { tick() }
     }
@@ -113,6 +113,9 @@
             links.values.toList().forEach { it.close() }
             return
         }
+        // From here on a pause is noticed; no link may be older than that.
+        if (!isListening) server.start()
+        isListening = true
         val now = clock.monotonic()
         links.values.filter { now - it.heardAt > LinkTiming.SILENCE }.forEach { it.close() }
         desk.tick()
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/PauseDetector.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/PauseDetector.kt
@@ -8,26 +8,26 @@
 
 /**
  * Notices that the process stood still, by its own timer or because its VM was suspended. The steady clock does not count a suspension,
- * so the time of day is compared with it; a step of the time of day looks the same.
+ * so the time of day is compared with it; a step of the time of day looks the same. It counts from the first check: a process that starts
+ * is short of processor time and has no links yet.
  */
 internal class PauseDetector(
     private val clock: Clock,
     private val bound: Duration = BOUND,
 ) {
-    private var steady: Duration = clock.monotonic()
-    private var wall: Instant = clock.wall()
+    private var last: Pair<Duration, Instant>? = null
 
     /** Returns how long the process stood still since the last call if that exceeds the bound, or null. Call it every few milliseconds. */
     fun check(): Duration? {
         val steadyNow = clock.monotonic()
         val wallNow = clock.wall()
+        val (steady, wall) = last ?: (steadyNow to wallNow)
+        last = steadyNow to wallNow
         val gap = steadyNow - steady
         val wallGap =
             java.time.Duration
                 .between(wall, wallNow)
                 .toKotlinDuration()
-        steady = steadyNow
-        wall = wallNow
         val pause = maxOf(gap, wallGap)
         return pause.takeIf { it > bound }
     }
