--- a/control/src/main/kotlin/io/bluebellramp/control/node/LogHost.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/LogHost.kt
@@ -24,6 +24,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import kotlinx.serialization.SerializationException
 import org.tinylog.kotlin.Logger
 import java.io.IOException
 import java.nio.file.Files
@@ -41,11 +42,14 @@
     private val folder: Path,
     private val self: Address,
     private val seeds: List<Address>,
-    private val isFounding: Boolean,
+    isFounding: Boolean,
     private val transport: LogTransport,
     private val clock: Clock,
     private val onState: (SharedState) -> Unit,
 ) : AutoCloseable {
+    /** False once the folder was set aside: a founder that forgot what it held must not take part under its old id. */
+    @Volatile
+    private var mayFound = isFounding
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val failures = Channel<StorageError>(Channel.CONFLATED)
 
@@ -121,10 +125,13 @@
     private suspend fun open(): LogMember? {
         val identity =
             try {
-                MemberIdentity.of(folder, self, seeds, isFounding)
+                MemberIdentity.of(folder, self, seeds, mayFound)
             } catch (e: IOException) {
                 Logger.error("The data folder cannot be used: $e")
                 return null
+            } catch (e: SerializationException) {
+                setAside("the identity of the member cannot be read: ${e.message}")
+                return null
             }
         val machine = CatalogMachine()
         val log =
@@ -164,6 +171,7 @@
     }
 
     private fun setAside(reason: String) {
+        mayFound = false
         Logger.error("The folder of the log is set aside; this member joins as a new one: $reason")
         try {
             Files.move(folder, folder.resolveSibling("${folder.fileName}-aside"), StandardCopyOption.REPLACE_EXISTING)
