--- a/replication/src/main/kotlin/io/bluebellramp/replication/Elections.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/Elections.kt
@@ -113,12 +113,13 @@
         return !hasLease && now - state.heardAt >= state.settings.election
     }
 
+    /** Just after a start, who has let another one stand waits, so that the two don't share the votes. */
     private fun grant(
         now: Duration,
         request: VoteRequest,
     ): Boolean {
         if (request.term < state.term || (request.preVote && request.term == state.term)) return false
-        if (request.preVote) return isUpToDate(request)
+        if (request.preVote) return isUpToDate(request).also { if (it && startAttempts != null) postpone(now) }
         if (request.term > state.term) state.follow(request.term, null)
         if (!isUpToDate(request)) return false
         if (state.vote.votedFor != null && state.vote.votedFor != request.candidate) return false
