--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/RunDesk.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/RunDesk.kt
@@ -43,7 +43,7 @@
     private val target: TargetPort,
     private val outputs: RunOutputs,
     private val zone: ZoneId,
-    private val lease: Duration,
+    lease: Duration,
     private var fence: Long,
 ) {
     private val runs = HashMap<TaskKey, Run>()
@@ -56,16 +56,9 @@
 
     /** Runs of an earlier agent. Their needs are not known, so nothing starts beside them. */
     private val foreign = HashSet<RunKey>()
-    private var targetClock: TargetClock? = null
+    private val leases = TargetLease(clock, lease)
     private var acknowledged = 0L
 
-    /** Local time of the last answered lease's sending, and by when every lease given so far has run out. */
-    private var leaseAnsweredAt = Duration.ZERO
-    private var leasedUntil = Duration.ZERO
-    private var leaseNumber = 0L
-    private var isLeasing = false
-    private var isReachable = false
-
     /** Runs that are not over. */
     val openRuns: Int get() = runs.size
 
@@ -81,7 +74,7 @@
                 known.isDraining -> "the target leaves"
                 zone in zonesOut -> "zone $zone is out of service"
                 isStopping -> "the agent stops"
-                !isReachable -> "the target cannot be reached"
+                !leases.isReachable -> "the target cannot be reached"
                 else -> null
             }
         }
@@ -125,7 +118,7 @@
         if (known == null || known.id != next.id || known.life != next.life) replaceTarget(next)
         if (known != null && !known.isDraining && next.isDraining) note("target_leaves", null, "target" to next.id)
         news = next
-        if (!isLeasing) askLease()
+        if (!leases.isAsked) askLease()
         advance()
         return true
     }
@@ -187,11 +180,8 @@
     /** Lets time pass; call it every few milliseconds. */
     fun tick() {
         val now = clock.monotonic()
-        if (isReachable && now - leaseAnsweredAt > UNREACHABLE_AFTER) {
-            isReachable = false
-            note("target_silent", null, "since" to now - leaseAnsweredAt)
-        }
-        if (!isReachable && leasedUntil < now) endLapsed()
+        leases.silentFor(now)?.let { note("target_silent", null, "since" to it) }
+        if (leases.hasLapsed(now)) endLapsed()
         for (run in runs.values.toList()) {
             val sent = run.stopSentAt
             val isOpen = run.state == RunState.STOPPING && run.stopAnsweredAt == null
@@ -210,11 +200,8 @@
     private fun forgetTarget(reason: String) {
         for (run in runs.values.filter { it.takesRoom }) over(run, TaskEvent.STOPPED, reason)
         foreign.clear()
-        targetClock = null
         acknowledged = 0
-        isReachable = false
-        isLeasing = false
-        leaseNumber++
+        leases.forget()
     }
 
     private fun stopAll(
@@ -240,10 +227,10 @@
 
     private fun startFitting(now: Duration) {
         val known = news ?: return
-        val steady = targetClock ?: return
         while (queue.size > 0) {
+            val until = leases.nextEnd(now) ?: return
             val run = queue.takeFitting(now, known.milliCpu - usedCpu, known.memoryMb - usedMemory) ?: return
-            order(run, known, steady.at(now) + lease, now)
+            order(run, known, until, now)
         }
     }
 
@@ -256,7 +243,7 @@
         run.number = lastNumbers.next(run.task, run.dispatch.attempt)
         run.state = RunState.STARTING
         run.orderedAt = now
-        leasedUntil = maxOf(leasedUntil, now + lease * TargetClock.SLOWEST + LAPSE_MARGIN)
+        leases.given(now)
         target.start(known.id, StartOrder(run.key, run.dispatch.spec, until, fence)) { started(run, it) }
     }
 
@@ -301,7 +288,7 @@
         when (refusal) {
             StartRefusal.FENCED -> fence += FENCE_STEP
             StartRefusal.OLD_NUMBER -> lastNumbers.skip(run.task, run.refusals)
-            StartRefusal.LATE -> targetClock = null
+            StartRefusal.LATE -> leases.forgetClock()
             else -> return over(run, TaskEvent.NOT_STARTED, refusal.name.lowercase())
         }
         if (!mayRepeat) return over(run, TaskEvent.NOT_STARTED, refusal.name.lowercase())
@@ -336,13 +323,12 @@
     private fun askLease() {
         val known = news ?: return
         val now = clock.monotonic()
-        val until = targetClock?.let { it.at(now) + lease }
-        val number = ++leaseNumber
-        isLeasing = true
-        if (until != null) leasedUntil = maxOf(leasedUntil, now + lease * TargetClock.SLOWEST + LAPSE_MARGIN)
+        val until = leases.nextEnd(now)
+        val number = leases.ask()
+        if (until != null) leases.given(now)
         // The first answer is needed at once for the clock of the target.
         val wait = if (until == null || foreign.isNotEmpty() || hasUnsettled()) Duration.ZERO else LEASE_WAIT
-        target.lease(known.id, until, acknowledged, fence, wait) { if (number == leaseNumber) leased(it, sentAt = now) }
+        target.lease(known.id, until, acknowledged, fence, wait) { if (leases.isLast(number)) leased(it, sentAt = now) }
     }
 
     private fun hasUnsettled() = runs.values.any { it.state == RunState.UNSURE || it.state == RunState.STOPPING }
@@ -351,7 +337,7 @@
         result: LeaseResult,
         sentAt: Duration,
     ) {
-        isLeasing = false
+        leases.ended()
         if (news == null) return
         when (result) {
             is LeaseResult.Listed -> {
@@ -377,12 +363,7 @@
         sentAt: Duration,
     ) {
         val now = clock.monotonic()
-        targetClock = TargetClock(result.clock, now)
-        leaseAnsweredAt = sentAt
-        if (!isReachable) {
-            isReachable = true
-            note("target_reached", null, "running" to result.running.size)
-        }
+        if (leases.answered(result.clock, sentAt)) note("target_reached", null, "running" to result.running.size)
         for (end in result.ended) {
             if (end.number <= acknowledged) continue
             acknowledged = end.number
@@ -501,11 +482,6 @@
         /** Time that the target may hold its answer to a lease; short against the lease, so that a lost answer costs no run. */
         val LEASE_WAIT = 150.milliseconds
 
-        /** A target without an answer for this long gets nothing new. */
-        val UNREACHABLE_AFTER = 450.milliseconds
-
-        /** Added to the end of a lease on the target's slowest clock, for the time that ending takes (bound by the platform: 50 ms). */
-        val LAPSE_MARGIN = 100.milliseconds
         val STOP_REPEAT = 100.milliseconds
 
         /** Orders to start that are tried again after a refusal that the agent can mend. */
