--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/RunDesk.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/RunDesk.kt
@@ -182,6 +182,7 @@
         val now = clock.monotonic()
         leases.silentFor(now)?.let { note("target_silent", null, "since" to it) }
         if (leases.hasLapsed(now)) endLapsed()
+        if (leases.mayAskAgain(now)) askLease()
         for (run in runs.values.toList()) {
             val sent = run.stopSentAt
             val isOpen = run.state == RunState.STOPPING && run.stopAnsweredAt == null
@@ -351,9 +352,8 @@
                 news = null
             }
 
-            is LeaseResult.NoAnswer -> {
-                askLease()
-            }
+            // The next look at the time asks again.
+            is LeaseResult.NoAnswer -> {}
         }
         advance()
     }
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/TargetLease.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/TargetLease.kt
@@ -21,6 +21,7 @@
     /** By when every lease given so far has run out. */
     private var givenUntil = Duration.ZERO
     private var lastCall = 0L
+    private var askedAt = Duration.ZERO
 
     /** True while a call is under way. */
     var isAsked = false
@@ -41,9 +42,13 @@
     /** A call goes out; returns its number. */
     fun ask(): Long {
         isAsked = true
+        askedAt = clock.monotonic()
         return ++lastCall
     }
 
+    /** Tells whether it is time to ask after a call without an answer. */
+    fun mayAskAgain(now: Duration) = !isAsked && now - askedAt >= ASK_AGAIN
+
     /** Tells whether [call] is the last one, made to the target of now. */
     fun isLast(call: Long) = call == lastCall
 
@@ -87,6 +92,9 @@
     }
 
     private companion object {
+        /** Pause after a call without an answer: a target that is gone refuses connections at once, a hundred times in a restart otherwise. */
+        val ASK_AGAIN = 30.milliseconds
+
         /** A target without an answer for this long gets nothing new. */
         val UNREACHABLE_AFTER = 450.milliseconds
 
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/RunDeskTest.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/RunDeskTest.kt
@@ -207,6 +207,19 @@
             assertEquals(2, target.stops.size)
         }
 
+        @Test
+        fun `a target that refuses at once is asked again after a pause`() {
+            reach()
+            val asked = target.leases.size
+            target.leases.last().answer(LeaseResult.NoAnswer("no connection"))
+            assertEquals(asked, target.leases.size)
+            clock.pass(30.milliseconds)
+            desk.tick()
+            assertEquals(asked + 1, target.leases.size)
+            desk.tick()
+            assertEquals(asked + 1, target.leases.size, "a call is under way")
+        }
+
         @Test
         fun `runs of a target that is silent are over once their leases have run out`() {
             reach()
