--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/JobDesk.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/JobDesk.kt
@@ -211,7 +211,7 @@
         for (step in request.steps) {
             val fitting = views.fitFor(step)
             if (fitting.isEmpty()) return JobAnswer.NotRun("no target is large enough", LONG_RETRY)
-            wait = maxOf(wait, fitting.minOf { it.expectedWait(step.milliCpu, step.memoryMb) })
+            wait = maxOf(wait, fitting.minOf { it.expectedDelay(step.milliCpu, step.memoryMb, step.estimate) })
         }
         return when (val verdict = admission.judge(wait, slack = request.objective - request.chain)) {
             AdmissionVerdict.Admit -> null
--- a/placement/src/main/kotlin/io/bluebellramp/placement/RoomView.kt
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/RoomView.kt
@@ -33,6 +33,13 @@
         return (behind / this.milliCpu.coerceAtLeast(1)).milliseconds.coerceAtLeast(SHORTEST_WAIT)
     }
 
+    /** Returns how much later than at a good agent with room a task is likely to end here, by waiting and by runs that fail. */
+    fun expectedDelay(
+        milliCpu: Int,
+        memoryMb: Int,
+        estimate: Duration,
+    ): Duration = expectedWait(milliCpu, memoryMb) + estimate * (1.0 / (1.0 - failing.coerceIn(0.0, MOST_FAILING)) - 1.0)
+
     /** Returns how long a task of [estimate] is likely to take here, with the runs that fail before it. */
     fun expectedRun(estimate: Duration): Duration = estimate * (slowness / (1.0 - failing.coerceIn(0.0, MOST_FAILING)))
 
--- a/placement/src/main/kotlin/io/bluebellramp/placement/TaskSpreader.kt
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/TaskSpreader.kt
@@ -8,7 +8,8 @@
  * Chooses an agent for each task of a step from reports that are some tens of milliseconds old.
  *
  * Answers moderate to heavy load from several entries at once: entries that all chose the agent with most room would meet there, so the
- * choice among agents that are about equally good is drawn by lot, in proportion to their free room.
+ * choice among agents that are about equally good is drawn by lot, in proportion to their free room. An agent that is free because it
+ * fails or drags is no better than a wait elsewhere.
  */
 class TaskSpreader(
     private val random: Random,
@@ -32,9 +33,9 @@
                 it to Choice(it.agent, it.expectedWait(milliCpu, memoryMb), it.expectedRun(estimate))
             }
         if (choices.isEmpty()) return null
-        val free = choices.filter { it.second.wait <= Duration.ZERO }.ifEmpty { choices }
-        val best = free.minOf { it.second.end }
-        return draw(free.filter { it.second.end <= best * NEARLY + NEARLY_SAME })
+        val best = choices.minOf { it.second.end }
+        val good = choices.filter { it.second.end <= best * NEARLY + NEARLY_SAME }
+        return draw(good.filter { it.second.wait <= Duration.ZERO }.ifEmpty { good })
     }
 
     private fun <A> draw(good: List<Pair<RoomView<A>, Choice<A>>>): Choice<A> {
--- a/placement/src/test/kotlin/io/bluebellramp/placement/RoomPoliciesTest.kt
+++ b/placement/src/test/kotlin/io/bluebellramp/placement/RoomPoliciesTest.kt
@@ -44,6 +44,25 @@
             assertEquals(setOf("b"), shares(listOf(view("a", 0, queued = 32_000L * 100), view("b", 4000))).keys)
         }
 
+        @Test
+        fun `an agent that is free since it fails everything is left alone while a short wait does`() {
+            val shares = shares(listOf(view("a", 32_000).copy(failing = 0.95), view("b", 0, queued = 32_000L * 50)))
+            assertEquals(setOf("b"), shares.keys)
+        }
+
+        @Test
+        fun `an agent that fails now and then is used when the others are far behind`() {
+            val shares = shares(listOf(view("a", 32_000).copy(failing = 0.3), view("b", 0, queued = 32_000L * 2000)))
+            assertEquals(setOf("a"), shares.keys)
+        }
+
+        @Test
+        fun `room where everything fails is no room to admit by`() {
+            val hung = view("a", 32_000).copy(failing = 0.9)
+            assertTrue(hung.expectedDelay(3000, 64, 100.milliseconds) > 800.milliseconds)
+            assertEquals(Duration.ZERO, view("b", 32_000, slowness = 2.0).expectedDelay(3000, 64, 100.milliseconds))
+        }
+
         @Test
         fun `a much slower agent is left alone while others have room`() {
             assertEquals(setOf("b"), shares(listOf(view("a", 30_000, slowness = 5.0), view("b", 4000))).keys)
