--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/RunDesk.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/RunDesk.kt
@@ -266,6 +266,8 @@
         run.state = RunState.UNSURE
         run.givenUpAt = clock.monotonic()
         note("start_unanswered", run)
+        // A list that was asked for before tells nothing of it, and the open call may wait for another end.
+        askLease()
     }
 
     private fun confirm(run: Run) {
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/RunDeskTest.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/RunDeskTest.kt
@@ -129,6 +129,24 @@
             assertEquals(emptyList(), target.stops)
         }
 
+        @Test
+        fun `a run whose start got no answer is looked for at once, and the call that was open tells nothing any more`() {
+            reach()
+            val open = target.leases.last()
+            desk.dispatch(entry, dispatch())
+            val run =
+                target.starts
+                    .single()
+                    .order.run
+            target.starts.single().answer(StartResult.NoAnswer)
+            assertTrue(target.leases.last() !== open)
+            clock.pass(1.milliseconds)
+            open.answer(LeaseResult.Listed(life = 1, clock = target.clock, running = emptyMap(), ended = emptyList()))
+            assertEquals(emptyList(), target.stops)
+            target.list(running = listOf(run))
+            assertEquals(listOf(TaskEvent.STARTED), events())
+        }
+
         @Test
         fun `a run whose start got no answer and is not listed is barred before its task is given back`() {
             reach()
