--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/JobDesk.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/JobDesk.kt
@@ -211,7 +211,7 @@
         for (step in request.steps) {
             val fitting = views.fitFor(step)
             if (fitting.isEmpty()) return JobAnswer.NotRun("no target is large enough", LONG_RETRY)
-            wait = maxOf(wait, fitting.minOf { it.expectedDelay(step.milliCpu, step.memoryMb, step.estimate) })
+            wait = maxOf(wait, longestDelay(fitting, step))
         }
         return when (val verdict = admission.judge(wait, slack = request.objective - request.chain)) {
             AdmissionVerdict.Admit -> null
@@ -219,6 +219,15 @@
         }
     }
 
+    /** Returns the longest delay of a task of [step] if all of its tasks are placed now: a wide job ends with its last task. */
+    private fun longestDelay(
+        views: List<RoomView<LinkId>>,
+        step: StepRequest,
+    ): Duration {
+        val choices = spreader.spread(views, step.milliCpu, step.memoryMb, step.estimate, step.count).filterNotNull()
+        return choices.maxOf { choice -> choice.wait + choice.rework }
+    }
+
     private fun views(
         job: Job,
         now: Duration,
@@ -268,20 +277,18 @@
         latest: Duration,
     ): Map<LinkId, List<JobTask>> {
         val chosen = LinkedHashMap<LinkId, ArrayList<JobTask>>()
-        val views = views(job, now).fitFor(step).associateByTo(LinkedHashMap()) { it.agent }
-        for (task in waiting) {
-            val fresh = views.values.filter { it.agent !in task.avoided }
-            val choice =
-                spreader.choose(fresh, step.milliCpu, step.memoryMb, step.estimate)
-                    ?: spreader.choose(views.values.toList(), step.milliCpu, step.memoryMb, step.estimate)
-                    ?: continue
-            if (choice.wait > latest - now) continue
+        val views = views(job, now).fitFor(step)
+        val choices =
+            spreader.spread(
+                views,
+                step.milliCpu,
+                step.memoryMb,
+                step.estimate,
+                waiting.size,
+            ) { task, link -> link in waiting[task].avoided }
+        for ((task, choice) in waiting.zip(choices)) {
+            if (choice == null || choice.wait > latest - now) continue
             chosen.getOrPut(choice.agent) { ArrayList() } += task
-            val view = views.getValue(choice.agent)
-            val free = view.freeMilliCpu - step.milliCpu
-            val queued = if (free < 0) step.milliCpu * step.estimate.inWholeMilliseconds else 0
-            views[choice.agent] =
-                view.copy(freeMilliCpu = free, freeMemoryMb = view.freeMemoryMb - step.memoryMb, workAhead = view.workAhead + queued)
         }
         return chosen
     }
--- a/placement/src/main/kotlin/io/bluebellramp/placement/RoomView.kt
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/RoomView.kt
@@ -33,16 +33,23 @@
         return (behind / this.milliCpu.coerceAtLeast(1)).milliseconds.coerceAtLeast(SHORTEST_WAIT)
     }
 
-    /** Returns how much later than at a good agent with room a task is likely to end here, by waiting and by runs that fail. */
-    fun expectedDelay(
-        milliCpu: Int,
-        memoryMb: Int,
-        estimate: Duration,
-    ): Duration = expectedWait(milliCpu, memoryMb) + estimate * (1.0 / (1.0 - failing.coerceIn(0.0, MOST_FAILING)) - 1.0)
+    /** Returns the time that runs of a task of [estimate] which fail here are likely to take before one ends well. */
+    fun expectedRework(estimate: Duration): Duration = estimate * (1.0 / (1.0 - failing.coerceIn(0.0, MOST_FAILING)) - 1.0)
 
     /** Returns how long a task of [estimate] is likely to take here, with the runs that fail before it. */
     fun expectedRun(estimate: Duration): Duration = estimate * (slowness / (1.0 - failing.coerceIn(0.0, MOST_FAILING)))
 
+    /** Returns the view with one more task sent there. */
+    fun withTask(
+        milliCpu: Int,
+        memoryMb: Int,
+        estimate: Duration,
+    ): RoomView<A> {
+        val free = freeMilliCpu - milliCpu
+        val queued = if (free < 0) milliCpu * estimate.inWholeMilliseconds else 0
+        return copy(freeMilliCpu = free, freeMemoryMb = freeMemoryMb - memoryMb, workAhead = workAhead + queued)
+    }
+
     /** Tells whether a task with these needs could ever run here. */
     fun canHold(milliCpu: Int) = milliCpu <= this.milliCpu
 
--- a/placement/src/main/kotlin/io/bluebellramp/placement/TaskSpreader.kt
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/TaskSpreader.kt
@@ -14,13 +14,44 @@
 class TaskSpreader(
     private val random: Random,
 ) {
-    /** The agent chosen and the wait expected there. */
+    /**
+     * An agent for a task.
+     *
+     * @property wait time until it is likely to start there
+     * @property runTime time that it is likely to take there, with the runs that fail before it
+     * @property rework part of it that goes to runs that fail
+     */
     data class Choice<A>(
         val agent: A,
         val wait: Duration,
         val runTime: Duration,
+        val rework: Duration,
     )
 
+    /**
+     * Returns the choice for each of [count] tasks with the same needs, each made with those before it taken into account; null for a task
+     * that nothing in [views] can run.
+     *
+     * @param avoids tells whether a task should rather not go to an agent; it does if there is no other
+     */
+    fun <A> spread(
+        views: List<RoomView<A>>,
+        milliCpu: Int,
+        memoryMb: Int,
+        estimate: Duration,
+        count: Int,
+        avoids: (Int, A) -> Boolean = { _, _ -> false },
+    ): List<Choice<A>?> {
+        val current = views.associateByTo(LinkedHashMap()) { it.agent }
+        return List(count) { task ->
+            val preferred = current.values.filterNot { avoids(task, it.agent) }
+            val choice =
+                choose(preferred, milliCpu, memoryMb, estimate) ?: choose(current.values.toList(), milliCpu, memoryMb, estimate)
+            if (choice != null) current[choice.agent] = current.getValue(choice.agent).withTask(milliCpu, memoryMb, estimate)
+            choice
+        }
+    }
+
     /** Returns the choice for one task among [views], or null if none can run it. */
     fun <A> choose(
         views: List<RoomView<A>>,
@@ -30,7 +61,7 @@
     ): Choice<A>? {
         val choices =
             views.filter { it.canHold(milliCpu) }.map {
-                it to Choice(it.agent, it.expectedWait(milliCpu, memoryMb), it.expectedRun(estimate))
+                it to Choice(it.agent, it.expectedWait(milliCpu, memoryMb), it.expectedRun(estimate), it.expectedRework(estimate))
             }
         if (choices.isEmpty()) return null
         val best = choices.minOf { it.second.end }
