--- a/transport/src/test/kotlin/io/bluebellramp/transport/HttpListenerTest.kt
+++ b/transport/src/test/kotlin/io/bluebellramp/transport/HttpListenerTest.kt
@@ -72,6 +72,21 @@
             assertTrue(gone.await(5, TimeUnit.SECONDS))
         }
 
+        @Test
+        fun `a listener whose connections are all taken leaves another one of the process its own`() {
+            val callers = Address("127.0.0.1:${freePort()}")
+            HttpListener(loop, callers, { HttpLimits(connections = MOST) }) { calls.add(it) }.start()
+            connect().use { metrics ->
+                val idle = List(MOST + 20) { Socket(callers.host, callers.port).apply { soTimeout = 5000 } }
+                assertEquals(-1, idle.last().getInputStream().read(), "one more than the bound is closed at once")
+                metrics.send("GET /metrics HTTP/1.1\r\n\r\n")
+                val call = next()
+                loop.execute { call.answer(HttpAnswer(200, "fine")) }
+                assertTrue("200" in metrics.readStatus())
+                idle.forEach { it.close() }
+            }
+        }
+
         @Test
         fun `draining lets the request under way end and closes the connection after it`() {
             connect().use { socket ->
@@ -113,4 +128,9 @@
             }
         }
     }
+
+    private companion object {
+        /** Connections that the callers' listener takes in the test; the bound of the product is larger. */
+        const val MOST = 200
+    }
 }
