--- a/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
@@ -78,6 +78,7 @@
     /** True once the whole log that a leader has was applied. */
     private var isCurrent = false
     private var isChanging = false
+    private var changedAt = Duration.ZERO
     private var absentSince: Duration? = null
     private val log =
         LogHost(Path.of(settings.dataFolder), self, seeds, settings.founding, transport, clock) { next -> loop.execute { take(next) } }
@@ -86,6 +87,15 @@
     /** True while a leader is known. */
     val isReady: Boolean get() = log.member?.status()?.leader != null
 
+    /** Members that vote, as far as this one knows. */
+    internal val voters: List<MemberAddress>
+        get() =
+            log.member
+                ?.status()
+                ?.membership
+                ?.voters
+                .orEmpty()
+
     /** Starts to listen and to find the others. */
     fun start() {
         server.start()
@@ -207,12 +217,13 @@
         joining.values.removeAll { now - it > JOIN_LIFE }
         val since = leadsSince ?: return
         val member = log.member ?: return
-        if (isChanging || now - since < SILENT_AFTER) return
+        if (isChanging || now - since < SILENT_AFTER || now - changedAt < CHANGE_PERIOD) return
         val isSilent = { other: MemberAddress ->
             other.address != self && now - (transport.lastAnswer(other.member) ?: since) > SILENT_AFTER
         }
         val change = keeper.nextChange(member.status().membership, joining.keys, isSilent) ?: return
         isChanging = true
+        changedAt = now
         scope.launch {
             val result = member.changeMembership(change)
             val reason = "${change.action.name.lowercase()} ${change.member} for ${change.replaces ?: "none"}: $result"
@@ -323,6 +334,9 @@
         val SILENT_AFTER = 5.seconds
         val JOIN_LIFE = 2.seconds
 
+        /** Pause between two changes of the members, so that a refused one is not tried and logged with each look at the time. */
+        val CHANGE_PERIOD = 500.milliseconds
+
         /** How long the others must name members without this one before it gives up its place. */
         val ABSENT_FOR = 3.seconds
         const val MAJORITY_OF_THREE = 2
--- a/control/src/main/kotlin/io/bluebellramp/control/node/LogHost.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/LogHost.kt
@@ -143,7 +143,7 @@
                 machine = machine,
                 transport = transport,
                 clock = clock,
-                settings = LogSettings(ELECTION_MILLIS, HEARTBEAT_MILLIS, SNAPSHOT_RECORDS, electsAtStart = true),
+                settings = LogSettings(ELECTION_MILLIS, HEARTBEAT_MILLIS, SNAPSHOT_RECORDS, electsAtStart = true, namesReceiver = true),
                 listener = Listener(identity),
             )
         return when (val start = log.start()) {
--- a/replication/src/main/kotlin/io/bluebellramp/replication/LogSettings.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/LogSettings.kt
@@ -12,6 +12,7 @@
  * @property snapshotPart longest part of a snapshot in one message (characters)
  * @property electsAtStart true if a member that has just started may vote and stand at once. Only where nobody reads under the leader's
  * lease: what a member promised a leader before it ended is forgotten
+ * @property namesReceiver true if the transport tells the receiver's id, so that no process answers for another one at its address
  */
 data class LogSettings(
     val electionMillis: Long = 400,
@@ -19,6 +20,7 @@
     val snapshotRecords: Int = 2000,
     val snapshotPart: Int = 65_536,
     val electsAtStart: Boolean = false,
+    val namesReceiver: Boolean = false,
 ) {
     internal val election: Duration get() = electionMillis.milliseconds
 
--- a/replication/src/main/kotlin/io/bluebellramp/replication/MembershipChanges.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/MembershipChanges.kt
@@ -1,5 +1,6 @@
 package io.bluebellramp.replication
 
+import io.bluebellramp.core.Address
 import io.bluebellramp.core.MemberId
 import io.bluebellramp.core.WireJson
 import io.bluebellramp.messages.MemberAddress
@@ -133,11 +134,21 @@
             request.member in members.retired -> "member ${request.member} is retired and never comes back"
             members.voters.any { it.member == request.member } -> "member ${request.member} is a voter already"
             learner != null && learner.address != address -> "member ${request.member} joins at ${learner.address}"
-            learner == null && (members.voters + members.learners).any { it.address == address } -> "$address is in use"
+            learner == null && isUsed(address, request) -> "$address is in use"
             else -> null
         }
     }
 
+    /** Where messages name their receiver, a member whose folder was emptied is replaced at its own address. */
+    private fun isUsed(
+        address: Address,
+        request: MembershipRequest,
+    ): Boolean {
+        val users = (log.membership.voters + log.membership.learners).filter { it.address == address }
+        val mayShare = state.settings.namesReceiver && request.replaces != null
+        return users.any { !mayShare || it.member != request.replaces }
+    }
+
     private fun refusalToRemove(member: MemberId?): String? {
         val members = log.membership
         val isVoter = members.voters.any { it.member == member }
--- a/replication/src/test/kotlin/io/bluebellramp/replication/RaftCoreTest.kt
+++ b/replication/src/test/kotlin/io/bluebellramp/replication/RaftCoreTest.kt
@@ -5,6 +5,7 @@
 import io.bluebellramp.messages.AppendRequest
 import io.bluebellramp.messages.AppendResponse
 import io.bluebellramp.messages.LogRecord
+import io.bluebellramp.messages.MemberAddress
 import io.bluebellramp.messages.Membership
 import io.bluebellramp.messages.MembershipAction
 import io.bluebellramp.messages.MembershipRequest
@@ -88,6 +89,35 @@
         }
     }
 
+    @Nested
+    inner class `a member whose folder was emptied` {
+        private fun replaceAtItsAddress(namesReceiver: Boolean): ProposalResult {
+            val cluster = FakeCluster(Random(SEED), 3, Chaos(0.0, 0.0, 0.0), namesReceiver = namesReceiver)
+            cluster.runUntil(3.seconds)
+            val leader = cluster.nodes.values.single { it.holdsMajority }
+            val lost = cluster.nodes.values.first { it !== leader }
+            cluster.propose(leader, "before")
+            cluster.crash(lost)
+            val newcomer = cluster.add(MemberAddress(MemberId("p"), lost.address.address), joining = true)
+            val results = ArrayList<ProposalResult>()
+            val request = MembershipRequest(MembershipAction.REPLACE, newcomer.id, newcomer.address.address, lost.id)
+            cluster.change(leader, request) { results += it }
+            cluster.runUntil(cluster.now + 8.seconds)
+            if (results.single() is ProposalResult.Applied) assertEquals(leader.machine.commands, newcomer.machine.commands)
+            return results.single()
+        }
+
+        @Test
+        fun `is replaced at its own address where messages name their receiver`() {
+            assertIs<ProposalResult.Applied>(replaceAtItsAddress(namesReceiver = true))
+        }
+
+        @Test
+        fun `is not replaced at its own address where another process could answer for it`() {
+            assertEquals("is in use", assertIs<ProposalResult.Refused>(replaceAtItsAddress(namesReceiver = false)).reason.takeLast(9))
+        }
+    }
+
     @Nested
     inner class `a member that was away for hundreds of changes` {
         @Test
