--- a/bench/src/main/kotlin/io/bluebellramp/bench/Main.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/Main.kt
@@ -1,5 +1,6 @@
 package io.bluebellramp.bench
 
+import io.bluebellramp.bench.jobs.JobsCommand
 import io.bluebellramp.bench.standin.AgentsCommand
 import io.bluebellramp.bench.trial.TrialCommand
 import io.bluebellramp.runtime.VERSION
@@ -19,7 +20,7 @@
         return
     }
     if ("--check" in args) exitProcess(checkSettings(args.toList()))
-    val commands = listOf(LoadCommand(), StartsCommand(), AgentsCommand(), TrialCommand(), FaultyTargetCommand())
+    val commands = listOf(LoadCommand(), StartsCommand(), AgentsCommand(), TrialCommand(), JobsCommand(), FaultyTargetCommand())
     val parser = argumentParser(PROGRAM)
     parser.subcommands(*commands.toTypedArray())
     parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
--- /dev/null
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/jobs/JobsCommand.kt
@@ -0,0 +1,35 @@
+package io.bluebellramp.bench.jobs
+
+import io.bluebellramp.bench.BenchCommand
+import io.bluebellramp.bench.ReportJson
+import io.bluebellramp.bench.UsageException
+import io.bluebellramp.runtime.ExitCode
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import kotlinx.cli.required
+import kotlinx.serialization.builtins.ListSerializer
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** Plays a day of a site file against the entries and agents for best-effort jobs, in virtual time. */
+internal class JobsCommand : BenchCommand("jobs", "Play the arrivals of a site file against entries and agents, in virtual time") {
+    private val site by option(ArgType.String, "site", description = "Site file (TOML)").required()
+    private val day by option(ArgType.String, "day", description = "Day of the site file; its plain traffic if absent")
+    private val load by option(ArgType.Double, "load", description = "Times the traffic of the day").default(1.0)
+    private val seeds by option(ArgType.Int, "seeds", description = "Number of seeds").default(3)
+    private val seed by option(ArgType.Int, "seed", description = "First seed").default(1)
+    private val out by option(ArgType.String, "out", description = "File for the rows (JSON)")
+
+    override fun run(): Int {
+        if (load <= 0) throw UsageException("--load must be above 0")
+        if (seeds < 1) throw UsageException("--seeds must be at least 1")
+        val model = SiteFile.read(Path.of(site), day)
+        val jobs = List(seeds) { JobsTrial(model, seed.toLong() + it, load).run() }.flatten()
+        val rows = JobsReport.rows(jobs)
+        println("seeds $seed to ${seed + seeds - 1}, load $load, ${model.targets.size} targets, ${model.entries} entries")
+        println(JobsRow.HEADER)
+        rows.forEach { println(it.wording()) }
+        out?.let { Files.writeString(Path.of(it), ReportJson.encodeToString(ListSerializer(JobsRow.serializer()), rows)) }
+        return ExitCode.OK
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/jobs/SiteFile.kt
@@ -0,0 +1,148 @@
+package io.bluebellramp.bench.jobs
+
+import io.bluebellramp.bench.UsageException
+import org.tomlj.Toml
+import org.tomlj.TomlArray
+import org.tomlj.TomlTable
+import java.io.IOException
+import java.nio.file.Path
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Reads a deployment and one of its days from a site file of the users' bench. What the trial does not model is left out. */
+internal object SiteFile {
+    private val troubleKinds =
+        mapOf(
+            "burst" to Trouble.Kind.BURST,
+            "srv_slow" to Trouble.Kind.SLOW,
+            "srv_crash" to Trouble.Kind.CRASHED,
+            "node_cut" to Trouble.Kind.CUT,
+            "srv_grey errors" to Trouble.Kind.FAILING,
+            "srv_grey hang" to Trouble.Kind.HANGING,
+        )
+
+    /** @param day name of a day, or null for the traffic of the site without trouble */
+    fun read(
+        file: Path,
+        day: String?,
+    ): SiteModel {
+        val site =
+            try {
+                Toml.parse(file)
+            } catch (e: IOException) {
+                throw UsageException("cannot read $file: ${e.message}")
+            }
+        site.errors().firstOrNull()?.let { throw UsageException("$file: ${it.message}") }
+        val played =
+            day?.let { name ->
+                site.tables("day").find { it.text("name") == name }
+                    ?: throw UsageException("$file has no day $name")
+            }
+        val thin = site.number("thin", 1.0)
+        return SiteModel(
+            kinds = site.tables("classes").map { kind(it, thin) },
+            arrivals = (played ?: site).tables("traffic").ifEmpty { site.tables("traffic") }.map { arrivals(it, thin) },
+            targets = targets(site),
+            entries = machines(site, "front"),
+            hop = site.table("net").number("cross_zone_ms", 1.0).milliseconds,
+            troubles = played?.tables("faults").orEmpty().mapNotNull { trouble(it) },
+            length = site.number("length_s", 30.0).seconds,
+        )
+    }
+
+    private fun kind(
+        table: TomlTable,
+        thin: Double,
+    ): RequestKind {
+        val jobs = table.table("jobs")
+        return RequestKind(
+            name = table.text("name"),
+            work = spread(table.table("work_ms"), 1 / thin),
+            width = spread(jobs.table("width")),
+            milliCpu = spread(jobs.table("cpu")),
+            uneven = jobs.number("uneven", 0.0),
+            estimateOff = jobs.number("est_off", 0.0),
+            stretch = jobs.number("stretch", 1.0),
+            allowance = table.number("aim_ms", 0.0).milliseconds,
+            patience = table.number("deadline_ms", 1500.0).milliseconds,
+            attempts = table.number("attempts", 1.0).toInt(),
+            worth = table.number("worth", 1.0),
+            lateWorth = table.number("late_worth", 0.0),
+        )
+    }
+
+    private fun arrivals(
+        table: TomlTable,
+        thin: Double,
+    ): Arrivals {
+        val shape = table.table("shape")
+        val mix = table.table("mix")
+        return Arrivals(
+            perSecond = table.number("per_s", 0.0) * thin,
+            mix = mix.keySet().associateWith { mix.number(it, 0.0) },
+            swing = shape.number("swing", 0.0),
+            period = shape.number("period_s", 10.0).seconds,
+            phase = shape.number("phase", 0.0),
+        )
+    }
+
+    private fun targets(site: TomlTable): List<TargetKind> {
+        val service = site.tables("services").firstOrNull() ?: throw UsageException("the site file has no service")
+        val node = service.table("node")
+        val speeds = service.numbers("speeds").ifEmpty { listOf(1.0) }
+        val sizes = node.numbers("sizes").ifEmpty { listOf(1.0) }
+        return List(machines(site, "side")) {
+            TargetKind(
+                milliCpu = (node.number("cpu", 0.0) * sizes[it % sizes.size]).toInt(),
+                memoryMb = (node.number("mem_mb", 0.0) * sizes[it % sizes.size]).toInt(),
+                speed = speeds[it % speeds.size],
+            )
+        }
+    }
+
+    private fun machines(
+        site: TomlTable,
+        kind: String,
+    ) = site.tables("machines").filter { it.text("class") == kind }.sumOf { it.number("count", 1.0).toInt() }
+
+    private fun trouble(table: TomlTable): Trouble? {
+        val kind = troubleKinds["${table.text("kind")} ${table.text("how")}"] ?: troubleKinds[table.text("kind")] ?: return null
+        return Trouble(
+            kind = kind,
+            at = table.number("at", 0.0).seconds,
+            lasts = table.number("for_s", 5.0).seconds,
+            share = table.number("share", DEFAULT_SHARE),
+            factor = table.number("x", 2.0),
+            requests = table.text("class"),
+        )
+    }
+
+    private fun spread(
+        table: TomlTable,
+        times: Double = 1.0,
+    ) = Spread(table.number("mean", 1.0) * times, table.number("spread", 0.0), table.number("max", Double.MAX_VALUE / times) * times)
+
+    private fun TomlTable.tables(key: String): List<TomlTable> = getArray(key)?.asList().orEmpty().filterIsInstance<TomlTable>()
+
+    private fun TomlTable.table(key: String): TomlTable = getTable(key) ?: Toml.parse("")
+
+    private fun TomlTable.text(key: String) = getString(key).orEmpty()
+
+    private fun TomlTable.number(
+        key: String,
+        other: Double,
+    ): Double = (get(key) as? Number)?.toDouble() ?: other
+
+    private fun TomlTable.numbers(key: String) =
+        getArray(key)
+            ?.asList()
+            .orEmpty()
+            .filterIsInstance<Number>()
+            .map { it.toDouble() }
+
+    private fun TomlArray.asList() = toList()
+
+    /** Share of the targets that a trouble meets if the file does not say. */
+    private const val DEFAULT_SHARE = 0.15
+}
--- a/bench/src/main/kotlin/io/bluebellramp/bench/trial/VirtualTime.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/trial/VirtualTime.kt
@@ -45,10 +45,10 @@
         }
     }
 
-    /** Runs all events. */
-    fun run() {
+    /** Runs all events up to [end]; without it, until none is left. */
+    fun run(end: Duration = Duration.INFINITE) {
         while (true) {
-            val event = events.poll() ?: return
+            val event = events.poll()?.takeIf { it.at <= end } ?: return
             now = event.at
             event.action()
         }
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/LinkTiming.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/LinkTiming.kt
@@ -2,8 +2,8 @@
 
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Times that an entry and an agent must agree on. */
-internal object LinkTiming {
+/** Times that an entry and an agent must agree on; a model of the two keeps to them as well. */
+object LinkTiming {
     /** How often the cores look at the time. */
     val TICK = 10.milliseconds
 
