--- a/cli/src/main/kotlin/io/bluebellramp/cli/Explanation.kt
+++ b/cli/src/main/kotlin/io/bluebellramp/cli/Explanation.kt
@@ -6,7 +6,7 @@
 import kotlinx.serialization.json.jsonPrimitive
 
 /**
- * What the logs of all processes say about one job.
+ * What the logs of all processes say about one job, or about one request of a caller, which names its job.
  *
  * @property lines its lines in the order of time, for people
  * @property cause why it ended as it did, in one sentence
@@ -18,17 +18,18 @@
     companion object {
         /** Reads [logs], in any order, with or without text before the JSON object of a line. Other lines are passed over. */
         fun of(
-            job: String,
+            id: String,
             logs: Sequence<String>,
         ): Explanation {
             val entries =
                 logs
-                    .filter { job in it }
+                    .filter { id in it }
                     .mapNotNull { parse(it) }
-                    .filter { it.text("job") == job }
+                    .filter { it.text("job") == id || it.text("request") == id }
                     .sortedBy { it.text("time") }
             val found = entries.toList()
-            return Explanation(found.map { it.wording() }, cause(found))
+            val isRequest = found.isNotEmpty() && found.none { it.text("job") == id }
+            return Explanation(found.map { it.wording() }, if (isRequest) requestCause(found) else cause(found))
         }
 
         private fun parse(line: String): JsonObject? {
@@ -42,6 +43,18 @@
             }
         }
 
+        private fun List<JsonObject>.refusedCall(): String? =
+            lastOrNull {
+                it.text(
+                    "decision",
+                ) == "call_refused"
+            }?.let { "The call was refused with ${it.text("status")}: ${it.text("reason")}." }
+
+        private fun requestCause(entries: List<JsonObject>): String {
+            entries.refusedCall()?.let { return it }
+            return "This request handed in job ${entries.last().text("job")}; explain that."
+        }
+
         private fun cause(entries: List<JsonObject>): String {
             if (entries.isEmpty()) return NOTHING_KNOWN
             val refusal = entries.lastOrNull { it.text("decision") == "refused" }
@@ -52,6 +65,8 @@
 
                 answer == null && ending != null -> "Ended without an answer: ${ending.text("reason")}."
 
+                answer == null && entries.refusedCall() != null -> entries.refusedCall().orEmpty()
+
                 answer == null -> "No answer is logged: the entry ended, or the job is open."
 
                 else -> "Answered ${answer.text(
--- a/cli/src/test/kotlin/io/bluebellramp/cli/ExplanationTest.kt
+++ b/cli/src/test/kotlin/io/bluebellramp/cli/ExplanationTest.kt
@@ -32,6 +32,18 @@
         assertEquals(listOf("placed", "answered"), explanation.lines.map { it.split(' ')[2] })
     }
 
+    @Test
+    fun `a request of a caller names its job, and a call that was refused its reason`() {
+        val request = "75b9af9dd165ecc7"
+        val received = line(1, "received", ""","request":"$request"""")
+        val other = line(2, "answered", ""","outcome":"Completed","elapsed":"80ms","objective":"200ms"""")
+        assertEquals("This request handed in job $job; explain that.", Explanation.of(request, sequenceOf(received, other)).cause)
+        val refused = line(1, "call_refused", ""","request":"$request","status":503,"reason":"no catalog is known yet"""")
+        val expected = "The call was refused with 503: no catalog is known yet."
+        assertEquals(expected, Explanation.of(request, sequenceOf(refused)).cause)
+        assertEquals(expected, explain(refused).cause)
+    }
+
     @TestFactory
     fun `the cause is named`(): List<DynamicTest> =
         mapOf(
