--- a/bench/src/main/kotlin/io/bluebellramp/bench/jobs/JobsTrial.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/jobs/JobsTrial.kt
@@ -97,7 +97,16 @@
         val estimate = work * (1 + kind.estimateOff * (2 * random.nextDouble() - 1))
         val step = StepRequest(width, job.milliCpu, MEMORY_MB, estimate.milliseconds)
         val queue =
-            Queue(kind.name, "h", "/${kind.name}/", ModelSystem.SERVICE, 0, kind.attempts, kind.stretch, kind.allowance.inWholeMilliseconds)
+            Queue(
+                kind.name,
+                "h",
+                "/${kind.name}/",
+                ModelSystem.SERVICE,
+                kind.priority,
+                kind.attempts,
+                kind.stretch,
+                kind.allowance.inWholeMilliseconds,
+            )
         val patience = maxOf(kind.patience, job.objective * PATIENCE)
         val entry = system.entries.random(random)
         val caller =
--- a/bench/src/main/kotlin/io/bluebellramp/bench/jobs/SiteFile.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/jobs/SiteFile.kt
@@ -67,6 +67,7 @@
             allowance = table.number("aim_ms", 0.0).milliseconds,
             patience = table.number("deadline_ms", 1500.0).milliseconds,
             attempts = table.number("attempts", 1.0).toInt(),
+            priority = table.number("priority", 0.0).toInt(),
             worth = table.number("worth", 1.0),
             lateWorth = table.number("late_worth", 0.0),
         )
--- a/bench/src/main/kotlin/io/bluebellramp/bench/jobs/SiteModel.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/jobs/SiteModel.kt
@@ -41,6 +41,7 @@
     val allowance: Duration,
     val patience: Duration,
     val attempts: Int,
+    val priority: Int,
     val worth: Double,
     val lateWorth: Double,
 )
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/RunDesk.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/RunDesk.kt
@@ -303,7 +303,7 @@
         val needs = run.dispatch
         val startBy = run.receivedAt + needs.startWithinMillis.milliseconds
         val dueAt = run.receivedAt + needs.dueWithinMillis.milliseconds
-        queue.add(run, needs.queue, needs.milliCpu, needs.memoryMb, needs.milliCpu * needs.estimateMillis, startBy, dueAt)
+        queue.add(run, needs.queue, needs.milliCpu, needs.memoryMb, needs.milliCpu * needs.estimateMillis, startBy, dueAt, needs.priority)
     }
 
     private fun stop(
--- a/placement/src/main/kotlin/io/bluebellramp/placement/RunQueue.kt
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/RunQueue.kt
@@ -7,7 +7,7 @@
 /**
  * Tasks that wait for room at one target, in a line for each queue that they came by.
  *
- * Answers overload: free room goes to the line whose queue was given least work lately, so a kind of request that asks for more than its
+ * Answers overload: free room goes to the most urgent queues first, and among those of the same urgency to the line whose queue was given least work lately, so a kind of request that asks for more than its
  * share of the target waits for the rest and crowds nobody out. In a line the task whose latest start in time comes first goes first. A task
  * that does not fit into the free room lets smaller ones pass, so that no room stays empty.
  */
@@ -23,6 +23,7 @@
     )
 
     private class Line<T> {
+        var priority = 0
         val items = ArrayList<Item<T>>()
         private var given = 0.0
         private var givenAt = Duration.ZERO
@@ -48,6 +49,7 @@
      *
      * @param dueAt latest start with which its job ends in time; the task with the earliest goes first
      * @param work processor need times expected run time
+     * @param priority urgency of [queue], 0 first; queues of the same one share what those before them leave
      */
     fun add(
         task: T,
@@ -57,9 +59,12 @@
         work: Long,
         startBy: Duration,
         dueAt: Duration = startBy,
+        priority: Int = 0,
     ) {
         val item = Item(task, milliCpu, memoryMb, work, startBy, dueAt, added++)
-        val items = lines.getOrPut(queue) { Line() }.items
+        val line = lines.getOrPut(queue) { Line() }
+        line.priority = priority
+        val items = line.items
         val found = items.binarySearch(item, compareBy<Item<T>> { it.dueAt }.thenBy { it.order })
         items.add(if (found < 0) -found - 1 else found, item)
     }
@@ -96,7 +101,7 @@
             removed.map { it.task }
         }
 
-    private fun inOrder(now: Duration) = lines.entries.sortedBy { it.value.given(now) }
+    private fun inOrder(now: Duration) = lines.entries.sortedWith(compareBy({ it.value.priority }, { it.value.given(now) }))
 
     private companion object {
         /** What was given counts half after this time: longer than the tasks, shorter than a change of the load. */
--- a/placement/src/test/kotlin/io/bluebellramp/placement/RoomPoliciesTest.kt
+++ b/placement/src/test/kotlin/io/bluebellramp/placement/RoomPoliciesTest.kt
@@ -125,7 +125,8 @@
             by: Duration = 100.milliseconds,
             kind: String = "q",
             milliCpu: Int = 1000,
-        ) = queue.add(task, kind, milliCpu, 1, work = milliCpu * 100L, startBy = now + by)
+            priority: Int = 0,
+        ) = queue.add(task, kind, milliCpu, 1, work = milliCpu * 100L, startBy = now + by, priority = priority)
 
         @Test
         fun `the task whose latest start comes first goes first`() {
@@ -159,6 +160,14 @@
             assertEquals("many", queue.waiting(now).first { it.second > 0 }.first)
         }
 
+        @Test
+        fun `a more urgent queue goes first, whatever it was given`() {
+            repeat(20) { add("urgent", kind = "urgent", priority = 0) }
+            repeat(5) { add("patient", kind = "patient", priority = 1) }
+            assertEquals(List(20) { "urgent" }, List(20) { queue.takeFitting(now, 1000, 1) })
+            assertEquals("patient", queue.takeFitting(now, 1000, 1))
+        }
+
         @Test
         fun `room that other kinds leave goes to the one that asks for it`() {
             repeat(5) { add("many", kind = "many") }
