--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/RunDeskTest.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/RunDeskTest.kt
@@ -89,6 +89,23 @@
             assertEquals(3, target.starts.size)
         }
 
+        @Test
+        fun `free room goes to the most urgent queue that waits`() {
+            reach()
+            desk.dispatch(entry, dispatch(tasks = 2))
+            val run = started(0)
+            started(1)
+            desk.dispatch(entry, dispatch(job = "00000000000000b1", queue = "patient").copy(priority = 2))
+            desk.dispatch(entry, dispatch(job = "00000000000000b2", queue = "urgent").copy(priority = 0))
+            target.list(ended = listOf(run to RunEnd.DONE))
+            val next =
+                target.starts
+                    .last()
+                    .order.run.task.job
+            assertEquals(3, target.starts.size)
+            assertEquals(JobId("00000000000000b2"), next)
+        }
+
         @Test
         fun `a task that finds no room in time is given back as not started`() {
             reach()
