The leader logs who votes, who is silent and who asks to join

The logs told when a member was replaced, not why one was not yet: with hypothesis 1 (a lost voter is replaced too late) the newcomer asks and the leader has not led for long enough, with hypothesis 3 (a change that waits for a lost newcomer) a change is under way, with a lost link nobody asks. 'voters' has the inputs and their ages, one line for each change of the sets; 'state_current' tells when entries are told the state again. Gauges for the same.

--- a/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
@@ -70,6 +70,7 @@
     private val processes = HashMap<FrameLink, ProcessHello>()
     private val joining = HashMap<MemberAddress, Duration>()
     private val keeper = MemberKeeper(maxOf(seeds.size, 1))
+    private val watch = VoterWatch()
     private val transport = LinkLogTransport(loop, clock, CALL_TIMEOUT) { dialers[it]?.link }
     private var state: SharedState? = null
     private var directory = Directory(emptyList(), emptyList())
@@ -87,8 +88,14 @@
     /** True while a leader is known. */
     val isReady: Boolean get() = log.member?.status()?.leader != null
 
+    /** Voters that do not answer, as the leader sees it; 0 elsewhere. */
+    val silentVoters: Int get() = watch.silentVoters
+
+    /** True if entries and agents that ask are told the state. */
+    val tellsState: Boolean get() = isCurrent
+
     /** Members that vote, as far as this one knows. */
-    internal val voters: List<MemberAddress>
+    val voters: List<MemberAddress>
         get() =
             log.member
                 ?.status()
@@ -170,6 +177,11 @@
     private fun noteCurrent(status: LogStatus?) {
         if (isCurrent || status == null) return
         isCurrent = status.leader != null && status.appliedIndex > 0 && status.appliedIndex == status.lastIndex
+        if (isCurrent) {
+            logDecision(
+                Decision(kind = "state_current", reason = "index ${status.appliedIndex}, leader ${status.leader?.member}"),
+            )
+        }
         tellState()
     }
 
@@ -190,6 +202,7 @@
         beat(now)
         tellDirectory(members)
         leadsSince = if (status?.role == Role.LEADER) leadsSince ?: now else null
+        status?.let { watchVoters(now, it) }
         keepMembers(now)
         leaveIfRemoved(now, status?.membership?.retired?.contains(log.identity?.member) == true)
     }
@@ -213,6 +226,16 @@
         processes.keys.forEach { it.send(text) }
     }
 
+    private fun watchVoters(
+        now: Duration,
+        status: LogStatus,
+    ) {
+        val since = leadsSince
+        val others = status.membership.voters.filter { it.address != self }
+        val silence = others.associate { it.member to now - (transport.lastAnswer(it.member) ?: since ?: now) }
+        watch.note(status.membership, since?.let { now - it }, silence, joining.mapValues { now - it.value })
+    }
+
     private fun keepMembers(now: Duration) {
         joining.values.removeAll { now - it > JOIN_LIFE }
         val since = leadsSince ?: return
