A newcomer that goes silent does not bar the next one

What callers would see: the same loss of the majority as before. Cause: the leader waits 60 s for the learner of an open change and refuses every other one meanwhile, so a newcomer that lost its disk again before it voted kept its successor out. Change: a learner that gives no answer for learnerSilenceMillis is given up; 1 s where control finds members itself, 60 s as before where an operator adds them.

--- a/control/src/main/kotlin/io/bluebellramp/control/node/LogHost.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/LogHost.kt
@@ -143,7 +143,7 @@
                 machine = machine,
                 transport = transport,
                 clock = clock,
-                settings = LogSettings(ELECTION_MILLIS, HEARTBEAT_MILLIS, SNAPSHOT_RECORDS, electsAtStart = true, namesReceiver = true),
+                settings = SETTINGS,
                 listener = Listener(identity),
             )
         return when (val start = log.start()) {
@@ -206,6 +206,19 @@
         /** A record may hold a catalog of 100 kB, and the smallest disk has 128 MB. */
         const val SNAPSHOT_RECORDS = 60
 
+        /** Several heartbeats. A newcomer that is only slow is taken up again, and one that lost its disk again does not bar the next one. */
+        const val LEARNER_SILENCE_MILLIS = 1000L
+
+        val SETTINGS =
+            LogSettings(
+                electionMillis = ELECTION_MILLIS,
+                heartbeatMillis = HEARTBEAT_MILLIS,
+                snapshotRecords = SNAPSHOT_RECORDS,
+                learnerSilenceMillis = LEARNER_SILENCE_MILLIS,
+                electsAtStart = true,
+                namesReceiver = true,
+            )
+
         /** How often a disk that refuses is tried. */
         val RESTART_PERIOD = 300.milliseconds
     }
--- a/replication/src/main/kotlin/io/bluebellramp/replication/Leader.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/Leader.kt
@@ -122,6 +122,9 @@
 
     fun matchOf(member: MemberId): Long = progress[member]?.match ?: 0L
 
+    /** Returns when the last request was sent that [member] answered, or null. */
+    fun heardFrom(member: MemberId): Duration? = progress[member]?.confirmedAt
+
     private fun peers() = log.members.filter { it.member != state.id }
 
     private fun progressOf(member: MemberId) = progress.getOrPut(member) { Progress(log.lastIndex + 1) }
--- a/replication/src/main/kotlin/io/bluebellramp/replication/LogSettings.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/LogSettings.kt
@@ -10,6 +10,8 @@
  * @property heartbeatMillis time between heartbeats of the leader (ms)
  * @property snapshotRecords applied records after which a snapshot replaces them
  * @property snapshotPart longest part of a snapshot in one message (characters)
+ * @property learnerSilenceMillis longest time without an answer of a learner that is to vote (ms); then its change is given up, so that
+ * others may follow
  * @property electsAtStart true if a member that has just started may vote and stand at once. Only where nobody reads under the leader's
  * lease: what a member promised a leader before it ended is forgotten
  * @property namesReceiver true if messages tell the id that they are for, and a member whose folder was emptied comes back under a new
@@ -20,6 +22,7 @@
     val heartbeatMillis: Long = 125,
     val snapshotRecords: Int = 2000,
     val snapshotPart: Int = 65_536,
+    val learnerSilenceMillis: Long = 60_000,
     val electsAtStart: Boolean = false,
     val namesReceiver: Boolean = false,
 ) {
@@ -27,6 +30,8 @@
 
     internal val heartbeat: Duration get() = heartbeatMillis.milliseconds
 
+    internal val learnerSilence: Duration get() = learnerSilenceMillis.milliseconds
+
     /** A leader without a majority of answers for this long steps down. */
     internal val stepDown: Duration get() = election * 2
 
--- a/replication/src/main/kotlin/io/bluebellramp/replication/MembershipChanges.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/MembershipChanges.kt
@@ -62,11 +62,19 @@
         val open = change ?: return
         when {
             open.learnerIndex == null -> finish(open)
-            now - open.startedAt > CATCH_UP_LIMIT -> giveUp(open)
+            isHopeless(now, open) -> giveUp(open)
             else -> promote(open)
         }
     }
 
+    private fun isHopeless(
+        now: Duration,
+        open: Change,
+    ): Boolean {
+        val heard = maxOf(leader.heardFrom(open.request.member) ?: open.startedAt, open.startedAt)
+        return now - open.startedAt > CATCH_UP_LIMIT || now - heard > state.settings.learnerSilence
+    }
+
     private fun isCommitted() = log.membership.index <= state.commitIndex
 
     private fun begin(request: MembershipRequest) {
@@ -95,7 +103,8 @@
     private fun giveUp(open: Change) {
         change = null
         record(log.membership.copy(learners = log.membership.learners.filter { it.member != open.request.member }))
-        val reason = "member ${open.request.member} did not catch up within $CATCH_UP_LIMIT"
+        val silence = state.settings.learnerSilence
+        val reason = "member ${open.request.member} did not catch up within $CATCH_UP_LIMIT, or was silent for $silence"
         state.outbox.finish(open.proposal, ProposalResult.Refused(reason))
     }
 
--- a/replication/src/test/kotlin/io/bluebellramp/replication/FakeCluster.kt
+++ b/replication/src/test/kotlin/io/bluebellramp/replication/FakeCluster.kt
@@ -15,6 +15,7 @@
     var chaos: Chaos,
     electsAtStart: Boolean = false,
     namesReceiver: Boolean = false,
+    learnerSilenceMillis: Long = 60_000,
 ) {
     inner class Node(
         val address: MemberAddress,
@@ -52,6 +53,7 @@
             heartbeatMillis = 125,
             snapshotRecords = 15,
             snapshotPart = 100,
+            learnerSilenceMillis = learnerSilenceMillis,
             electsAtStart = electsAtStart,
             namesReceiver = namesReceiver,
         )
--- a/replication/src/test/kotlin/io/bluebellramp/replication/RaftCoreTest.kt
+++ b/replication/src/test/kotlin/io/bluebellramp/replication/RaftCoreTest.kt
@@ -164,6 +164,31 @@
         }
     }
 
+    @Nested
+    inner class `a newcomer that loses its disk while it is taken in` {
+        @Test
+        fun `does not bar the one that comes after it`() {
+            val cluster = FakeCluster(Random(SEED), 3, Chaos(0.0, 0.0, 0.0), namesReceiver = true, learnerSilenceMillis = 1000)
+            cluster.runUntil(3.seconds)
+            val leader = cluster.nodes.values.single { it.holdsMajority }
+            val lost = cluster.nodes.values.first { it !== leader }
+            cluster.crash(lost)
+            val results = ArrayList<ProposalResult>()
+
+            fun replaceBy(id: String) {
+                val address = MemberAddress(MemberId(id), lost.address.address)
+                val request = MembershipRequest(MembershipAction.REPLACE, address.member, address.address, lost.id)
+                cluster.change(leader, request) { results += it }
+                cluster.runUntil(cluster.now + 1.5.seconds)
+            }
+            replaceBy("gone")
+            cluster.add(MemberAddress(MemberId("next"), lost.address.address), joining = true)
+            replaceBy("next")
+            assertIs<ProposalResult.Refused>(results.first())
+            assertIs<ProposalResult.Applied>(results.last())
+        }
+    }
+
     @Nested
     inner class `a leader that was cut off` {
         @Test
