As many controls vote as the tolerated losses need

Cause: the log had three voters whatever the deployment says may be lost; two of them lost their disks. The platform's faultTolerance was read nowhere. Ruled out: the second disk was not lost in a window of re-entry; all three had voted for 30 s. Change: setting toleratedLosses (faultTolerance.machines); the log grows to twice that and one, seven at most, from the zone with the fewest voters. Further controls are learners, which have the log when a voter falls silent and take its place. A newcomer dials who the seeds name, since the leader need not be a seed.

--- a/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
@@ -72,7 +72,7 @@
 
     /** The member that asked last at each address, and when. */
     private val joining = HashMap<Address, Pair<MemberAddress, Duration>>()
-    private val keeper = MemberKeeper(maxOf(seeds.size, 1))
+    private val keeper = MemberKeeper(settings.toleratedLosses, founders = seeds.size)
     private val watch = VoterWatch()
     private val transport = LinkLogTransport(loop, clock, CALL_TIMEOUT) { dialers[it]?.link }
     private var state: SharedState? = null
@@ -200,7 +200,9 @@
         val status = log.member?.status()
         noteCurrent(status)
         val members = status?.membership?.let { it.voters + it.learners }.orEmpty()
-        val addresses = (members.map { it.address } + seeds).toSet() - self
+        // A newcomer knows no members, and the leader need not be at the address of a seed.
+        val told = othersMembers.values.flatMap { it.map(MemberAddress::address) }
+        val addresses = (members.map { it.address } + seeds + if (members.isEmpty()) told else emptyList()).toSet() - self
         (addresses - dialers.keys).forEach { dial(it) }
         (dialers.keys - addresses).forEach { dialers.remove(it)?.stop() }
         dialers.values.forEach { it.check(now) }
@@ -254,8 +256,9 @@
         val since = leadsSince ?: return
         val member = log.member ?: return
         if (isChanging || now - changedAt < CHANGE_PERIOD) return
-        val isSilent = { other: MemberAddress -> other.address != self && silence(now, since, other.member) > SILENT_AFTER }
-        val change = keeper.nextChange(member.status().membership, joining.values.map { it.first }, isSilent) ?: return
+        val silenceOf = { other: MemberAddress -> if (other.address == self) Duration.ZERO else silence(now, since, other.member) }
+        val view = MemberKeeper.View(member.status().membership, joining.values.map { it.first }, silenceOf, ::zoneOf)
+        val change = keeper.nextChange(view) ?: return
         isChanging = true
         changedAt = now
         scope.launch {
@@ -266,6 +269,9 @@
         }
     }
 
+    /** Every control process dials the members of the log, so the leader knows their zones from what they said first. */
+    private fun zoneOf(address: Address) = if (address == self) settings.zone else processes.values.find { it.address == address }?.zone
+
     /** A member that the others have retired never votes again, so it joins anew. */
     private fun leaveIfRemoved(
         now: Duration,
@@ -364,11 +370,6 @@
         /** Longest time of a call between members: an election time. */
         val CALL_TIMEOUT = 700.milliseconds
 
-        /**
-         * A voter without an answer for this long may be replaced by a member at another address: a restart takes about a second, and a VM
-         * counts as whole, so that the next one may be lost, 4 s after its return at the earliest.
-         */
-        val SILENT_AFTER = 2.seconds
         val JOIN_LIFE = 2.seconds
 
         /** Pause between two changes of the members, so that a refused one is not tried and logged with each look at the time. */
--- a/control/src/test/kotlin/io/bluebellramp/control/node/LoopbackControls.kt
+++ b/control/src/test/kotlin/io/bluebellramp/control/node/LoopbackControls.kt
@@ -18,6 +18,7 @@
 internal class LoopbackControls(
     private val folder: Path,
     count: Int,
+    private val toleratedLosses: Int = 1,
 ) : AutoCloseable {
     private class Started(
         val node: ControlNode,
@@ -42,6 +43,7 @@
                 lastPort = port + 10,
                 dataFolder = folder.resolve(host).toString(),
                 founding = isFounding,
+                toleratedLosses = toleratedLosses,
             )
         val loop = EventLoop()
         val node = ControlNode(settings, loop, SystemClock)
@@ -91,6 +93,9 @@
         isConfirmed && ids.size == 1 && ids.single() != "c-$host" && ids.single() != former
     }
 
+    /** Tells whether all know [count] voters, by a change that is confirmed. */
+    fun haveVoters(count: Int) = running.values.all { it.node.voters.size == count && it.node.logStatus?.isJoint == false }
+
     /** Returns the id of the voter at [host], as the process there knows it. */
     fun voterId(host: String): String? =
         running[host]
--- a/messages/src/main/kotlin/io/bluebellramp/messages/MembershipAction.kt
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/MembershipAction.kt
@@ -3,7 +3,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
-/** What to do with a member. */
+/** What to do with a member. One that is to learn gets the log and does not vote. */
 @Serializable
 enum class MembershipAction {
     @SerialName("add")
@@ -14,4 +14,7 @@
 
     @SerialName("replace")
     REPLACE,
+
+    @SerialName("learn")
+    LEARN,
 }
--- a/messages/src/main/kotlin/io/bluebellramp/messages/NodeSettings.kt
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/NodeSettings.kt
@@ -34,6 +34,8 @@
     val dataFolder: String = "",
     /** True only when the whole system starts for the first time. */
     val founding: Boolean = false,
+    /** Control processes that may be lost with their disks at the same moment. */
+    val toleratedLosses: Int = 1,
     /** Time from SIGTERM until the process is killed (s). */
     val stopSeconds: Double = 6.0,
     /** Longest lease that a target grants (ms). */
--- a/replication/src/main/kotlin/io/bluebellramp/replication/MembershipChanges.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/MembershipChanges.kt
@@ -83,7 +83,7 @@
         if (learner !in log.membership.learners) {
             record(log.membership.copy(learners = log.membership.learners + learner))
         }
-        change?.learnerIndex = log.membership.index
+        if (request.action != MembershipAction.LEARN) change?.learnerIndex = log.membership.index
     }
 
     private fun promote(open: Change) {
@@ -130,7 +130,7 @@
 
     private fun refusal(request: MembershipRequest): String? =
         when (request.action) {
-            MembershipAction.ADD -> refusalToAdd(request)
+            MembershipAction.ADD, MembershipAction.LEARN -> refusalToAdd(request)
             MembershipAction.REPLACE -> refusalToAdd(request) ?: refusalToRemove(request.replaces)
             MembershipAction.REMOVE -> refusalToRemove(request.member)
         }
