An event loop closes its sockets when it ends

DisksLostInARowTest failed in about one run of three: 'Cannot listen at 127.0.0.13: Address already in use' for seconds. A trace showed the listener and its connections open 0.5 s after the loop was closed, and no thread of that loop left. With a quiet time of 0 the loop can end in the round in which it is told to, before it closes its channels. Programs were not touched: the process ends with the loop. A test that closes 40 busy loops did not show the race and is not kept.

--- a/transport/src/main/kotlin/io/bluebellramp/transport/EventLoop.kt
+++ b/transport/src/main/kotlin/io/bluebellramp/transport/EventLoop.kt
@@ -65,7 +65,7 @@
     }
 
     override fun close() {
-        group.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS)
+        group.shutdownGracefully(QUIET_MILLIS, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS)
     }
 
     /** A repeated task that throws would never run again. */
@@ -83,6 +83,9 @@
             if (System.getProperty("io.netty.processId") == null) System.setProperty("io.netty.processId", "1")
         }
 
+        /** Without a quiet time the loop may end in the round in which it is told to, and leave its sockets open (ms). */
+        const val QUIET_MILLIS = 1L
+
         /** Longest time to end open tasks (ms). */
         const val SHUTDOWN_MILLIS = 200L
 
