A member gives up its log only for a newer list of members

A control set its log aside, an acknowledged copy with it, once any two others named members without it for 3 s, also where they were behind: a newcomer that votes is not on the list of two old voters that are cut off together with it, and no number said whose list was newer. Directories carry the index of the committed record they were read from, name committed members only, and only a newer list counts. A learner that was given up while it was away notices now, too.

--- a/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
@@ -76,7 +76,7 @@
     private val watch = VoterWatch()
     private val transport = LinkLogTransport(loop, clock, CALL_TIMEOUT) { dialers[it]?.link }
     private var state: SharedState? = null
-    private var directory = Directory(emptyList(), emptyList())
+    private var directory = Directory(controls = emptyList(), entries = emptyList())
     private var leadsSince: Duration? = null
 
     /** True once the whole log that a leader has was applied. */
@@ -201,18 +201,18 @@
         noteCurrent(status)
         val members = status?.membership?.let { it.voters + it.learners }.orEmpty()
         // A newcomer knows no members, and the leader need not be at the address of a seed.
-        val told = othersMembers.values.flatMap { it.map(MemberAddress::address) }
-        val addresses = (members.map { it.address } + seeds + if (members.isEmpty()) told else emptyList()).toSet() - self
+        val others = if (members.isEmpty()) told.values.flatMap { it.controls } else members
+        val addresses = (others.map { it.address } + seeds).toSet() - self
         (addresses - dialers.keys).forEach { dial(it) }
         (dialers.keys - addresses).forEach { dialers.remove(it)?.stop() }
         dialers.values.forEach { it.check(now) }
         processes.keys.filter { now - it.heardAt > LINK_SILENCE }.forEach { it.close() }
         beat(now)
-        tellDirectory(members)
+        tellDirectory(status)
         leadsSince = if (status?.role == Role.LEADER) leadsSince ?: now else null
         status?.let { watchVoters(now, it) }
         keepMembers(now)
-        leaveIfRemoved(now, status?.membership?.retired?.contains(log.identity?.member) == true)
+        leaveIfRemoved(now, status)
     }
 
     private var beatAt = Duration.ZERO
@@ -226,8 +226,16 @@
         dialers.values.forEach { it.link?.send(text) }
     }
 
-    private fun tellDirectory(members: List<MemberAddress>) {
-        val next = Directory(members, processes.values.filter { it.role == ProcessRole.ENTRY })
+    /** Names only members that are committed: others give up their log, or dial, by what they are told. */
+    private fun tellDirectory(status: LogStatus?) {
+        val entries = processes.values.filter { it.role == ProcessRole.ENTRY }
+        val members = status?.membership?.takeIf { it.index <= status.commitIndex }
+        val next =
+            if (members == null) {
+                directory.copy(entries = entries)
+            } else {
+                Directory(controls = members.voters + members.learners, controlsIndex = members.index, entries = entries)
+            }
         if (next == directory) return
         directory = next
         val text = WireJson.encodeToString(ControlFrame(directory = next))
@@ -272,12 +280,13 @@
     /** Every control process dials the members of the log, so the leader knows their zones from what they said first. */
     private fun zoneOf(address: Address) = if (address == self) settings.zone else processes.values.find { it.address == address }?.zone
 
-    /** A member that the others have retired never votes again, so it joins anew. */
+    /** A member that the others have removed never votes again, so it joins anew. */
     private fun leaveIfRemoved(
         now: Duration,
-        isRetired: Boolean,
+        status: LogStatus?,
     ) {
-        val isAbsent = isRetired || isMissingElsewhere()
+        val own = log.identity?.member
+        val isAbsent = own != null && status != null && isRemoved(own, status.membership, told.values)
         absentSince = if (isAbsent) absentSince ?: now else null
         val since = absentSince ?: return
         if (now - since < ABSENT_FOR) return
@@ -285,19 +294,7 @@
         scope.launch { log.startAfresh() }
     }
 
-    private val othersMembers = HashMap<Address, List<MemberAddress>>()
-
-    /** Tells whether every other control process that can be reached names members without this one. */
-    private fun isMissingElsewhere(): Boolean {
-        val own = log.identity ?: return false
-        if (log.isJoining) return false
-        val named =
-            dialers.values
-                .filter { it.link != null }
-                .mapNotNull { othersMembers[it.address] }
-                .filter { it.isNotEmpty() }
-        return named.size >= MAJORITY_OF_THREE && named.all { members -> members.none { it.member == own.member } }
-    }
+    private val told = HashMap<Address, Directory>()
 
     private fun dial(address: Address) {
         val dialer = FrameDialer(loop, clock, address, LINK_SILENCE, ClientListener(address))
@@ -352,11 +349,11 @@
             if (text == EMPTY_FRAME) return
             val frame = WireJson.decodeFromString<ControlFrame>(text)
             frame.reply?.let { transport.onReply(it) }
-            frame.directory?.let { othersMembers[address] = it.controls }
+            frame.directory?.let { told[address] = it }
         }
 
         override fun onClosed(link: FrameLink) {
-            othersMembers.remove(address)
+            told.remove(address)
         }
     }
 
@@ -377,7 +374,6 @@
 
         /** How long the others must name members without this one before it gives up its place. */
         val ABSENT_FOR = 3.seconds
-        const val MAJORITY_OF_THREE = 2
         const val LONGEST_REASON = 300
         const val EMPTY_FRAME = "{}"
     }
--- a/messages/src/main/kotlin/io/bluebellramp/messages/Directory.kt
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/Directory.kt
@@ -7,4 +7,6 @@
 data class Directory(
     val controls: List<MemberAddress>,
     val entries: List<ProcessHello>,
+    /** Index of the committed record that names the controls. */
+    val controlsIndex: Long = 0,
 )
