--- a/control/src/main/kotlin/io/bluebellramp/control/node/MemberKeeper.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/MemberKeeper.kt
@@ -30,12 +30,14 @@
      *
      * @property joining members that have asked to join and can be reached
      * @property silenceOf returns how long a member has not answered since this process leads; zero for itself
+     * @property leader this process
      * @property zoneOf returns the availability zone of a process, or null if it is not known
      */
     class View(
         val membership: Membership,
         val joining: Collection<MemberAddress>,
         val silenceOf: (MemberAddress) -> Duration,
+        val leader: Address? = null,
         val zoneOf: (Address) -> ZoneId? = { null },
     ) {
         internal fun isSilent(member: MemberAddress) = silenceOf(member) > SILENT_AFTER
@@ -49,6 +51,7 @@
             ?: members.voters.filter(view::isSilent).let { silent ->
                 silent.singleOrNull()?.takeIf { members.voters.size > wanted }?.let { remove(it) }
             }
+            ?: balance(view)
             ?: members.learners.find { view.silenceOf(it) > LEARNER_GONE_AFTER }?.let { remove(it) }
     }
 
@@ -89,6 +92,21 @@
         }
     }
 
+    /** Moves a vote out of a zone that has two more than the zone of a learner, so that the loss of one zone leaves a majority. */
+    private fun balance(view: View): MembershipRequest? {
+        val members = view.membership
+        val voters = members.voters.groupBy { view.zoneOf(it.address) }
+        for (learner in members.learners.filterNot(view::isSilent)) {
+            val zone = view.zoneOf(learner.address) ?: continue
+            val few = voters[zone].orEmpty().size
+            val crowded = voters.filterKeys { it != null }.values.maxByOrNull { it.size } ?: continue
+            val former = crowded.firstOrNull { it.address != view.leader } ?: continue
+            if (crowded.size < few + 2) continue
+            return MembershipRequest(MembershipAction.REPLACE, learner.member, learner.address, former.member)
+        }
+        return null
+    }
+
     /** The next voter: in the zone with the fewest voters that answer, and rather one that has the log already. */
     private fun candidate(view: View): MemberAddress? {
         val members = view.membership
--- a/control/src/test/kotlin/io/bluebellramp/control/node/MemberKeeperTest.kt
+++ b/control/src/test/kotlin/io/bluebellramp/control/node/MemberKeeperTest.kt
@@ -38,6 +38,7 @@
             membership,
             joining,
             silenceOf = { if (it.member.value in silent) 3.seconds else 1.seconds },
+            leader = Address("a:1"),
             zoneOf = { address -> zones[address.host]?.let { ZoneId(it) } },
         ),
     )
@@ -88,6 +89,15 @@
         assertEquals(MemberId("e"), next(joining = listOf(member("d"), member("e")), zones = zones, keeper = two)?.member)
     }
 
+    @Test
+    fun `a vote leaves a zone that has two more than that of a learner`() {
+        val learner = member("d")
+        val crowded = mapOf("a" to "x", "b" to "x", "c" to "y", "d" to "z")
+        val change = next(membership(learners = listOf(learner)), zones = crowded)
+        assertEquals(MembershipRequest(MembershipAction.REPLACE, learner.member, learner.address, MemberId("b")), change)
+        assertNull(next(membership(learners = listOf(learner)), zones = crowded + ("b" to "z")))
+    }
+
     @Test
     fun `a silent voter goes if there are more than the system was founded with`() {
         val four = membership(voters + member("d"))
