A control without a disk keeps no log and does not keep others from founding it

Such a process as a seed would have kept the others from founding the log at all (by reading: all founders must confirm each other). A process says in its hello whether it has a disk; founders wait for the hello of every seed and leave out those without one; a process without a log sends operators to a member. The keeper is told who leads, so that the leader's vote stays.

--- a/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
@@ -31,6 +31,7 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
 import java.nio.file.Path
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -79,13 +80,16 @@
     private var directory = Directory(controls = emptyList(), entries = emptyList())
     private var leadsSince: Duration? = null
 
+    private val hasDisk = settings.dataFolder.isNotEmpty()
+    private var isLogStarted = false
+
     /** True once the whole log that a leader has was applied. */
     private var isCurrent = false
     private var isChanging = false
     private var changedAt = Duration.ZERO
     private var absentSince: Duration? = null
     private val log =
-        LogHost(Path.of(settings.dataFolder), self, seeds, settings.founding, transport, clock) { next -> loop.execute { take(next) } }
+        LogHost(Path.of(settings.dataFolder), self, ::founders, settings.founding, transport, clock) { next -> loop.execute { take(next) } }
     private val server = FrameServer(loop, clock, self.host, self.port, ServerListener())
 
     /** True while a leader is known. */
@@ -112,10 +116,27 @@
     /** Starts to listen and to find the others. */
     fun start() {
         server.start()
-        log.start()
+        if (!hasDisk) logDecision(Decision(kind = "log_none", reason = "no data folder: this process keeps no log and sends operators on"))
         loop.every(TICK) { tick() }
     }
 
+    /** A founder must know which of the seeds have a disk: the others keep no log. */
+    private fun startLog() {
+        if (isLogStarted || !hasDisk) return
+        val mustWait = settings.founding && self in seeds && !log.hasIdentity
+        val seen = processes.values.map { it.address }.toSet() + self
+        if (mustWait && !seen.containsAll(seeds)) return
+        isLogStarted = true
+        log.start()
+    }
+
+    private fun founders() =
+        seeds -
+            processes.values
+                .filterNot { it.hasDisk }
+                .map { it.address }
+                .toSet()
+
     /** Puts [catalog] in force unless a higher number is. */
     suspend fun put(catalog: Catalog): OperatorResult = propose(CatalogCommand(catalog = catalog))
 
@@ -142,7 +163,7 @@
     }
 
     private suspend fun propose(command: CatalogCommand): OperatorResult {
-        val member = log.member ?: return OperatorResult.Unknown
+        val member = log.member ?: return sentOn()
         return when (val result = member.propose(WireJson.encodeToString(command))) {
             is ProposalResult.Applied -> {
                 val verdict = CatalogVerdict.valueOf(result.answer)
@@ -165,6 +186,17 @@
         }
     }
 
+    /** A process without a log knows no leader, but a member does. */
+    private fun sentOn(): OperatorResult {
+        val host =
+            told.values
+                .flatMap { it.controls }
+                .firstOrNull { it.address != self }
+                ?.address
+                ?.host ?: return OperatorResult.Unknown
+        return OperatorResult.LedBy(host)
+    }
+
     private fun take(next: SharedState) {
         if (next.index == 0L || next.index <= (state?.index ?: 0L)) return
         state = next
@@ -197,6 +229,7 @@
 
     private fun tick() {
         val now = clock.monotonic()
+        startLog()
         val status = log.member?.status()
         noteCurrent(status)
         val members = status?.membership?.let { it.voters + it.learners }.orEmpty()
@@ -265,7 +298,7 @@
         val member = log.member ?: return
         if (isChanging || now - changedAt < CHANGE_PERIOD) return
         val silenceOf = { other: MemberAddress -> if (other.address == self) Duration.ZERO else silence(now, since, other.member) }
-        val view = MemberKeeper.View(member.status().membership, joining.values.map { it.first }, silenceOf, ::zoneOf)
+        val view = MemberKeeper.View(member.status().membership, joining.values.map { it.first }, silenceOf, self, ::zoneOf)
         val change = keeper.nextChange(view) ?: return
         isChanging = true
         changedAt = now
@@ -294,7 +327,7 @@
         scope.launch { log.startAfresh() }
     }
 
-    private val told = HashMap<Address, Directory>()
+    private val told = ConcurrentHashMap<Address, Directory>()
 
     private fun dial(address: Address) {
         val dialer = FrameDialer(loop, clock, address, LINK_SILENCE, ClientListener(address))
@@ -302,7 +335,7 @@
         dialer.start()
     }
 
-    private fun hello() = ProcessHello(settings.node, ProcessRole.CONTROL, incarnation, settings.zone, self)
+    private fun hello() = ProcessHello(settings.node, ProcessRole.CONTROL, incarnation, settings.zone, self, hasDisk)
 
     /** Links that other processes have dialled. */
     private inner class ServerListener : LinkListener {
--- a/control/src/main/kotlin/io/bluebellramp/control/node/LogHost.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/LogHost.kt
@@ -36,12 +36,13 @@
  * Keeps a member of the replicated log running in [folder]: a disk that refuses a write ends the member, and it is started again from
  * what the disk holds. A damaged log counts as a lost disk.
  *
+ * @param founders links' addresses of the first members, asked for when the folder is empty
  * @param onState called with each state that the log has committed
  */
 internal class LogHost(
     private val folder: Path,
     private val self: Address,
-    private val seeds: List<Address>,
+    private val founders: () -> List<Address>,
     isFounding: Boolean,
     private val transport: LogTransport,
     private val clock: Clock,
@@ -65,6 +66,9 @@
     /** Who this member is, or null while its disk cannot be used. */
     val identity: MemberAddress? get() = running?.first?.let { MemberAddress(it.member, self) }
 
+    /** True if the folder tells who this member is. */
+    val hasIdentity: Boolean get() = MemberIdentity.isIn(folder)
+
     /** True if this member waits to be added. */
     val isJoining: Boolean
         get() =
@@ -125,7 +129,7 @@
     private suspend fun open(): LogMember? {
         val identity =
             try {
-                MemberIdentity.of(folder, self, seeds, mayFound)
+                MemberIdentity.of(folder, self, founders(), mayFound)
             } catch (e: IOException) {
                 Logger.error("The data folder cannot be used: $e")
                 return null
--- a/control/src/main/kotlin/io/bluebellramp/control/node/MemberIdentity.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/MemberIdentity.kt
@@ -53,6 +53,9 @@
             return made
         }
 
+        /** Tells whether [folder] holds an identity. */
+        fun isIn(folder: Path): Boolean = Files.exists(folder.resolve(FILE))
+
         /** Founders know each other's ids from the seeds alone. */
         private fun founderId(address: Address) = MemberId("c-${address.host}")
 
--- a/messages/src/main/kotlin/io/bluebellramp/messages/ProcessHello.kt
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/ProcessHello.kt
@@ -14,4 +14,6 @@
     val incarnation: IncarnationId,
     val zone: ZoneId,
     val address: Address,
+    /** False for a control process that keeps no log. */
+    val hasDisk: Boolean = true,
 )
