A member that a change retires keeps its log until the change is confirmed

Suspected from reading. It waits for the confirmation now, and directories name members of confirmed changes only. RemovalTest's new case failed before. The founders are taken on the loop, where the links are; they were read from the log's thread.

--- a/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
@@ -89,7 +89,7 @@
     private var changedAt = Duration.ZERO
     private var absentSince: Duration? = null
     private val log =
-        LogHost(Path.of(settings.dataFolder), self, ::founders, settings.founding, transport, clock) { next -> loop.execute { take(next) } }
+        LogHost(Path.of(settings.dataFolder), self, settings.founding, transport, clock) { next -> loop.execute { take(next) } }
     private val server = FrameServer(loop, clock, self.host, self.port, ServerListener())
 
     /** True while a leader is known. */
@@ -124,19 +124,13 @@
     private fun startLog() {
         if (isLogStarted || !hasDisk) return
         val mustWait = settings.founding && self in seeds && !log.hasIdentity
-        val seen = processes.values.map { it.address }.toSet() + self
+        val seen = processes.values.map { it.address } + self
         if (mustWait && !seen.containsAll(seeds)) return
         isLogStarted = true
-        log.start()
+        val diskless = processes.values.filterNot { it.hasDisk }.map { it.address }
+        log.start(founders = seeds - diskless.toSet())
     }
 
-    private fun founders() =
-        seeds -
-            processes.values
-                .filterNot { it.hasDisk }
-                .map { it.address }
-                .toSet()
-
     /** Puts [catalog] in force unless a higher number is. */
     suspend fun put(catalog: Catalog): OperatorResult = propose(CatalogCommand(catalog = catalog))
 
@@ -259,10 +253,10 @@
         dialers.values.forEach { it.link?.send(text) }
     }
 
-    /** Names only members that are committed: others give up their log, or dial, by what they are told. */
+    /** Names only members of a confirmed change: others give up their log, or dial, by what they are told. */
     private fun tellDirectory(status: LogStatus?) {
         val entries = processes.values.filter { it.role == ProcessRole.ENTRY }
-        val members = status?.membership?.takeIf { it.index <= status.commitIndex }
+        val members = status?.takeIf { it.isSettled }?.membership
         val next =
             if (members == null) {
                 directory.copy(entries = entries)
@@ -319,7 +313,7 @@
         status: LogStatus?,
     ) {
         val own = log.identity?.member
-        val isAbsent = own != null && status != null && isRemoved(own, status.membership, told.values)
+        val isAbsent = own != null && status != null && isRemoved(own, status.membership, status.isSettled, told.values)
         absentSince = if (isAbsent) absentSince ?: now else null
         val since = absentSince ?: return
         if (now - since < ABSENT_FOR) return
--- a/control/src/main/kotlin/io/bluebellramp/control/node/LogHost.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/LogHost.kt
@@ -36,13 +36,11 @@
  * Keeps a member of the replicated log running in [folder]: a disk that refuses a write ends the member, and it is started again from
  * what the disk holds. A damaged log counts as a lost disk.
  *
- * @param founders links' addresses of the first members, asked for when the folder is empty
  * @param onState called with each state that the log has committed
  */
 internal class LogHost(
     private val folder: Path,
     private val self: Address,
-    private val founders: () -> List<Address>,
     isFounding: Boolean,
     private val transport: LogTransport,
     private val clock: Clock,
@@ -82,11 +80,15 @@
     /** Returns the state as of the last applied record, or null while the disk cannot be used. */
     fun state(): SharedState? = machine?.state?.value
 
-    /** Starts the member, and again after each failure. */
-    fun start() {
+    /**
+     * Starts the member, and again after each failure.
+     *
+     * @param founders links' addresses of the first members
+     */
+    fun start(founders: List<Address>) {
         scope.launch {
             while (isActive) {
-                val open = open()
+                val open = open(founders)
                 if (open != null) {
                     failures.receive()
                     open.close()
@@ -126,10 +128,10 @@
         member?.close()
     }
 
-    private suspend fun open(): LogMember? {
+    private suspend fun open(founders: List<Address>): LogMember? {
         val identity =
             try {
-                MemberIdentity.of(folder, self, founders(), mayFound)
+                MemberIdentity.of(folder, self, founders, mayFound)
             } catch (e: IOException) {
                 Logger.error("The data folder cannot be used: $e")
                 return null
--- a/control/src/test/kotlin/io/bluebellramp/control/node/LogHostTest.kt
+++ b/control/src/test/kotlin/io/bluebellramp/control/node/LogHostTest.kt
@@ -56,9 +56,9 @@
     fun close() = hosts.forEach { it.close() }
 
     private fun host() =
-        LogHost(folder, self, { listOf(self) }, isFounding = true, NobodyElse, SystemClock) { }.also {
+        LogHost(folder, self, isFounding = true, NobodyElse, SystemClock) { }.also {
             hosts += it
-            it.start()
+            it.start(listOf(self))
         }
 
     private fun eventually(
--- a/control/src/test/kotlin/io/bluebellramp/control/node/RemovalTest.kt
+++ b/control/src/test/kotlin/io/bluebellramp/control/node/RemovalTest.kt
@@ -14,6 +14,7 @@
         val known: Membership,
         val told: List<Directory>,
         val isRemoved: Boolean,
+        val isSettled: Boolean = true,
     )
 
     private fun members(ids: String) = ids.map { MemberAddress(MemberId("$it"), Address("$it:1")) }
@@ -42,11 +43,18 @@
             Case("a newer list does not name it", known(9, "abn"), listOf(told(12, "abc")), true),
             Case("a newer list names it", known(9, "abn"), listOf(told(12, "abn")), false),
             Case("its own log says so", known(9, "abc", retired = listOf(MemberId("n"))), emptyList(), true),
+            Case(
+                "its own log says so by a change that is not confirmed",
+                known(9, "abc", retired = listOf(MemberId("n"))),
+                emptyList(),
+                isRemoved = false,
+                isSettled = false,
+            ),
             Case("a learner that was removed", known(9, "abc", learners = "n"), listOf(told(12, "abc")), true),
             Case("a newcomer that nobody has taken in yet", known(0, ""), listOf(told(12, "abc")), false),
         )
 
     @Test
     fun `a member gives up its log only once a newer list leaves it out`() =
-        cases.forEach { assertEquals(it.isRemoved, isRemoved(MemberId("n"), it.known, it.told), it.name) }
+        cases.forEach { assertEquals(it.isRemoved, isRemoved(MemberId("n"), it.known, it.isSettled, it.told), it.name) }
 }
--- a/replication/src/main/kotlin/io/bluebellramp/replication/ReplicatedLog.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/ReplicatedLog.kt
@@ -51,7 +51,10 @@
     val membership: Membership,
     val matchIndexes: Map<String, Long>,
     val isJoint: Boolean = false,
-)
+) {
+    /** True if the members are those of a confirmed change, as far as this member knows. */
+    val isSettled: Boolean get() = !isJoint && membership.index <= commitIndex
+}
 
 /** One member of the replicated log, as its owner sees it. Safe for concurrent use. */
 interface ReplicatedLog {
