A busy process no longer closes links whose frames have arrived

An agent or entry that was busy for less than the 400 ms of the pause detector gave up running work of a living peer. Ruled out: that the argument against two runs at once needs the early close: what an agent receives after being busy counts as news already today, bounded by the pause detector, and that bound stays. Change: FrameLink.closeIfSilent looks for input once more; used by entry, agent and control. Test: FrameLinkTest, 'a link whose frames arrived while the process was busy...' failed before (closed), now passes; a silent link is still closed.

--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/AgentNode.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/AgentNode.kt
@@ -104,7 +104,7 @@
         }
         val now = clock.monotonic()
         updateEntries(now)
-        entries.values.forEach { it.dialer.closeIfSilent(now) }
+        entries.values.forEach { it.dialer.closeIfSilent() }
         runManager.tick()
         if (now - lastHeartbeatAt < LinkTiming.HEARTBEAT_PERIOD) return
         lastHeartbeatAt = now
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
@@ -117,7 +117,7 @@
         if (!isListening) server.start()
         isListening = true
         val now = clock.monotonic()
-        links.values.filter { now - it.lastReceivedAt > LinkTiming.LINK_TIMEOUT }.forEach { it.close() }
+        links.values.toList().forEach { it.closeIfSilent(LinkTiming.LINK_TIMEOUT) }
         scheduler.tick()
         if (now - lastHeartbeatAt < LinkTiming.HEARTBEAT_PERIOD) return
         lastHeartbeatAt = now
--- a/transport/src/main/kotlin/io/bluebellramp/transport/ControlLinks.kt
+++ b/transport/src/main/kotlin/io/bluebellramp/transport/ControlLinks.kt
@@ -75,7 +75,7 @@
             .keys
             .toList()
             .forEach { removeLink(it) }
-        dialers.values.forEach { it.closeIfSilent(now) }
+        dialers.values.forEach { it.closeIfSilent() }
         if (now - lastHeartbeatAt < HEARTBEAT_PERIOD) return
         lastHeartbeatAt = now
         dialers.values.forEach { it.link?.send(EMPTY_FRAME) }
--- a/transport/src/main/kotlin/io/bluebellramp/transport/FrameDialer.kt
+++ b/transport/src/main/kotlin/io/bluebellramp/transport/FrameDialer.kt
@@ -32,9 +32,8 @@
     fun start() = dial()
 
     /** Closes the link if no frame was received for [silence]. Call it several times in each such interval. */
-    fun closeIfSilent(now: Duration) {
-        val openLink = link ?: return
-        if (now - openLink.lastReceivedAt > silence) openLink.close()
+    fun closeIfSilent() {
+        link?.closeIfSilent(silence)
     }
 
     /** Closes the link and does not reconnect. */
--- a/transport/src/main/kotlin/io/bluebellramp/transport/FrameLink.kt
+++ b/transport/src/main/kotlin/io/bluebellramp/transport/FrameLink.kt
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.LengthFieldPrepender
 import org.tinylog.kotlin.Logger
 import java.io.IOException
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
 /** Receives the events of a link. All functions are called on the event loop. */
@@ -55,6 +56,15 @@
         channel.writeAndFlush(Unpooled.wrappedBuffer(text.encodeToByteArray()), channel.voidPromise())
     }
 
+    /** Closes the connection if no frame was received for [timeout]. Frames that arrived while the process was busy are read first. */
+    fun closeIfSilent(timeout: Duration) {
+        if (!isSilent(timeout)) return
+        // A new timer runs only after the loop has looked for input again.
+        channel.eventLoop().schedule({ if (isSilent(timeout)) close() }, 0, TimeUnit.NANOSECONDS)
+    }
+
+    private fun isSilent(timeout: Duration) = clock.monotonic() - lastReceivedAt > timeout
+
     /** Closes the connection. */
     fun close() {
         channel.close()
--- a/transport/src/test/kotlin/io/bluebellramp/transport/FrameLinkTest.kt
+++ b/transport/src/test/kotlin/io/bluebellramp/transport/FrameLinkTest.kt
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class FrameLinkTest {
@@ -48,4 +49,52 @@
         assertEquals(2, received.count { it == "dialer close" }, "$received")
         assertEquals(2, received.count { it == "server hello" }, "$received")
     }
+
+    @Test
+    fun `a link whose frames arrived while the process was busy is not taken for a silent one`() {
+        val serverLoop = EventLoop()
+        val silence = 250.milliseconds
+        val beats =
+            object : LinkListener {
+                override fun onOpen(link: FrameLink) {
+                    serverLoop.every(50.milliseconds) { link.send("beat") }
+                    serverLoop.after(200.milliseconds) { link.send("stall") }
+                    serverLoop.after(1.seconds) { link.send("end") }
+                }
+
+                override fun onFrame(
+                    link: FrameLink,
+                    text: String,
+                ) = Unit
+            }
+        val busyListener =
+            object : LinkListener {
+                override fun onFrame(
+                    link: FrameLink,
+                    text: String,
+                ) {
+                    if (text == "stall") Thread.sleep(silence.inWholeMilliseconds * 2)
+                    if (text == "end") events += text
+                }
+
+                override fun onClosed(link: FrameLink) {
+                    events += "closed"
+                }
+            }
+        FrameServer(serverLoop, SystemClock, address.host, address.port, beats).start()
+        val dialer = FrameDialer(loop, SystemClock, address, silence, busyListener)
+        loop.execute { dialer.start() }
+        loop.every(10.milliseconds) { dialer.closeIfSilent() }
+        assertEquals("end", nextEvent())
+        serverLoop.close()
+    }
+
+    @Test
+    fun `a silent link is closed`() {
+        val dialer = FrameDialer(loop, SystemClock, address, 100.milliseconds, RecordingListener("dialer"))
+        FrameServer(loop, SystemClock, address.host, address.port, RecordingListener("server")).start()
+        loop.execute { dialer.start() }
+        loop.every(10.milliseconds) { dialer.closeIfSilent() }
+        assertEquals(setOf("dialer closed", "server closed"), setOf(nextEvent(), nextEvent()))
+    }
 }
