The subset of an entry counts the agents of each service

Cause: found by reading: the size of the subset followed the number of all agents. In a fleet of several services an entry could be left without an agent of a small one (5 agents of 378: 0.4 at an entry) and would have refused all of its jobs. Also, right after a restart of the whole fleet control knew few agents, so each of them would have linked to all entries when processor time is scarcest. Change: agents tell control the service of their target; control tells the numbers by service with its heartbeats, but not in its first 5 s; while the number is unknown a subset of 8 is used.

--- a/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
@@ -4,6 +4,7 @@
 import io.bluebellramp.core.Clock
 import io.bluebellramp.core.IncarnationId
 import io.bluebellramp.core.MemberId
+import io.bluebellramp.core.ServiceId
 import io.bluebellramp.core.WireJson
 import io.bluebellramp.core.ZoneId
 import io.bluebellramp.messages.Catalog
@@ -13,6 +14,7 @@
 import io.bluebellramp.messages.NodeSettings
 import io.bluebellramp.messages.ProcessHello
 import io.bluebellramp.messages.ProcessRole
+import io.bluebellramp.messages.ServiceAgents
 import io.bluebellramp.messages.SharedState
 import io.bluebellramp.replication.LogStatus
 import io.bluebellramp.replication.ProposalResult
@@ -249,12 +251,14 @@
     }
 
     private var heartbeatSentAt = Duration.ZERO
-    private var announcedAgents = 0
+    private val createdAt = clock.monotonic()
+    private var announcedAgents = emptyList<ServiceAgents>()
+    private val servicesOfAgents = HashMap<FrameLink, ServiceId>()
 
     private fun sendHeartbeats(now: Duration) {
         if (now - heartbeatSentAt < HEARTBEAT_INTERVAL) return
         heartbeatSentAt = now
-        val agents = processes.values.count { it.role == ProcessRole.AGENT }
+        val agents = if (now - createdAt < AGENT_COUNT_DELAY) emptyList() else countAgents()
         val heartbeat = if (agents == announcedAgents) EMPTY_FRAME else WireJson.encodeToString(ControlFrame(agents = agents))
         announcedAgents = agents
         processes.keys.forEach { it.send(heartbeat) }
@@ -263,6 +267,13 @@
         dialers.values.forEach { it.link?.send(text) }
     }
 
+    private fun countAgents(): List<ServiceAgents> =
+        servicesOfAgents.values
+            .groupingBy { it }
+            .eachCount()
+            .map { (service, count) -> ServiceAgents(service, count) }
+            .sortedBy { it.service.value }
+
     /** Lists only members of a confirmed change, because receivers discard their log or open links according to the directory. */
     private fun broadcastDirectory(status: LogStatus?) {
         val entries = processes.values.filter { it.role == ProcessRole.ENTRY }
@@ -358,6 +369,7 @@
         ) {
             val frame = WireJson.decodeFromString<ControlFrame>(text)
             frame.hello?.let { register(link, it) }
+            frame.service?.let { servicesOfAgents[link] = it }
             frame.joining?.let { joinRequests[it.address] = it to clock.monotonic() }
             val call = frame.call ?: return
             scope.launch {
@@ -367,6 +379,7 @@
         }
 
         override fun onClosed(link: FrameLink) {
+            servicesOfAgents.remove(link)
             val closedProcess = processes.remove(link) ?: return
             logDecision(Decision(kind = "process_gone", reason = "${closedProcess.role.name.lowercase()} ${closedProcess.node}"))
         }
@@ -415,6 +428,9 @@
 
         val JOIN_REQUEST_TIMEOUT = 2.seconds
 
+        /** Time until nearly all agents have connected; a smaller count would make each of them connect to more entries. */
+        val AGENT_COUNT_DELAY = 5.seconds
+
         /** Pause between two membership changes, so that a refused change is not retried and logged on every tick. */
         val MEMBERSHIP_CHANGE_INTERVAL = 500.milliseconds
 
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/EntryRoster.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/EntryRoster.kt
@@ -47,7 +47,7 @@
      * Returns the plan for the entries that control lists now.
      *
      * @param connected entries with an open link
-     * @param agents number of agents in the fleet, or 0 if it is unknown
+     * @param agents number of agents of the same service, or 0 if it is unknown
      */
     fun update(
         listed: Collection<EntryLocation>,
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/RunManager.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/RunManager.kt
@@ -2,6 +2,7 @@
 
 import io.bluebellramp.core.Clock
 import io.bluebellramp.core.JobId
+import io.bluebellramp.core.ServiceId
 import io.bluebellramp.core.TargetId
 import io.bluebellramp.core.ZoneId
 import io.bluebellramp.messages.QueueWork
@@ -62,6 +63,9 @@
     /** Number of runs that are not over, including those that wait for capacity. */
     val openRuns: Int get() = runs.size
 
+    /** Service that the target offers, or null while there is no target. */
+    val service: ServiceId? get() = currentTarget?.service
+
     /** Returns whether a run that the entry at [owner] dispatched is not over. */
     fun hasRunsOf(owner: LinkId): Boolean = runs.values.any { it.owner == owner }
 
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/AgentNode.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/AgentNode.kt
@@ -79,7 +79,11 @@
     }
 
     /** Processes an announcement of the target. Returns false if it is older than the last one. */
-    fun targetAnnounced(description: TargetDescription): Boolean = runManager.targetAnnounced(description)
+    fun targetAnnounced(description: TargetDescription): Boolean {
+        val isNew = runManager.targetAnnounced(description)
+        if (isNew) control.announceService(description.service)
+        return isNew
+    }
 
     /** Records that the target [id] has left for good. */
     fun targetLeft(id: TargetId) = runManager.targetLeft(id)
@@ -119,7 +123,7 @@
         rosterVersion = control.directoryVersion
         val listed = control.entries.mapTo(LinkedHashSet()) { EntryLocation(it.address, it.zone) }
         val connected = entries.filterValues { it.dialer.link != null }.keys.toSet()
-        val plan = roster.update(listed, connected, control.agents, now)
+        val plan = roster.update(listed, connected, runManager.service?.let { control.agentsOf(it) } ?: 0, now)
         (plan.wanted - entries.keys).forEach { address -> entries[address] = Entry(address).also { it.dialer.start() } }
         for ((address, entry) in entries.entries.toList()) {
             entry.setRetiring(address in plan.surplus, now)
--- a/messages/src/main/kotlin/io/bluebellramp/messages/ControlFrame.kt
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/ControlFrame.kt
@@ -1,5 +1,6 @@
 package io.bluebellramp.messages
 
+import io.bluebellramp.core.ServiceId
 import kotlinx.serialization.Serializable
 
 /** A frame between a control process and another process. */
@@ -9,8 +10,9 @@
     val joining: MemberAddress? = null,
     val state: SharedState? = null,
     val directory: Directory? = null,
-    /** Number of agents connected to the sender. Absent if it has not changed. */
-    val agents: Int? = null,
+    val service: ServiceId? = null,
+    /** Numbers of agents connected to the sender by service. Absent if they have not changed. Services without agents are left out. */
+    val agents: List<ServiceAgents>? = null,
     val call: MemberCall? = null,
     val reply: MemberReply? = null,
 )
--- a/placement/src/main/kotlin/io/bluebellramp/placement/EntrySubset.kt
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/EntrySubset.kt
@@ -14,7 +14,7 @@
  * Chooses the entries to which one agent connects, so that the number of links of an entry does not grow with the fleet.
  *
  * Answers a fleet in which links between all entries and all agents would cost more than the tasks. Every agent chooses for itself by
- * rendezvous hashing: an entry gets about [AGENTS_PER_ENTRY] agents, and an entry that comes or goes changes few choices. Half of the choice
+ * rendezvous hashing: an entry gets about [AGENTS_PER_ENTRY] agents of each service, and an entry that comes or goes changes few choices. Half of the choice
  * is in the agent's own zone, because traffic between zones is slow and priced. The other half is spread over the other zones, so that
  * an entry keeps agents while its zone is out of service, and shares the remaining ones evenly with all other entries.
  *
@@ -28,7 +28,7 @@
     /**
      * Returns the addresses to connect to.
      *
-     * @param agents number of agents in the fleet, or 0 if it is unknown; all entries are chosen then
+     * @param agents number of agents of the same service, or 0 if it is unknown; [SIZE_IF_UNKNOWN] entries are chosen then
      */
     fun select(
         entries: Collection<EntryLocation>,
@@ -54,7 +54,7 @@
         entries: Int,
         agents: Int,
     ): Int {
-        if (agents <= 0) return entries
+        if (agents <= 0) return SIZE_IF_UNKNOWN
         val share = (entries.toLong() * AGENTS_PER_ENTRY + agents - 1) / agents
         return share.coerceIn(MIN_ENTRIES.toLong(), maxOf(entries, MIN_ENTRIES).toLong()).toInt()
     }
@@ -76,6 +76,9 @@
         /** Mean number of agents of an entry. Enough for a wide job, and for the load of one entry to be a small part of each agent's. */
         const val AGENTS_PER_ENTRY = 32
 
+        /** Few enough that a restart of the whole fleet is not slowed down by links that are not needed. */
+        const val SIZE_IF_UNKNOWN = 8
+
         /** An agent keeps this many entries in any case, so that it stays in use while some of them are down. */
         const val MIN_ENTRIES = 4
         const val INT_MASK = 0xFFFF_FFFFL
--- a/transport/src/main/kotlin/io/bluebellramp/transport/ControlLinks.kt
+++ b/transport/src/main/kotlin/io/bluebellramp/transport/ControlLinks.kt
@@ -2,6 +2,7 @@
 
 import io.bluebellramp.core.Address
 import io.bluebellramp.core.Clock
+import io.bluebellramp.core.ServiceId
 import io.bluebellramp.core.WireJson
 import io.bluebellramp.messages.ControlFrame
 import io.bluebellramp.messages.Directory
@@ -33,7 +34,8 @@
     private val dialers = HashMap<Address, FrameDialer>()
     private val lastNamedAt = HashMap<Address, Duration>()
     private val directories = HashMap<Address, Directory>()
-    private val agentCounts = HashMap<Address, Int>()
+    private val agentCounts = HashMap<Address, Map<ServiceId, Int>>()
+    private var announcedService: ServiceId? = null
     private var lastHeartbeatAt = Duration.ZERO
     private val helloText = WireJson.encodeToString(ControlFrame(hello = hello))
 
@@ -47,10 +49,7 @@
     /** Entries listed in the directory of any reachable control process. */
     val entries: List<ProcessHello> get() = directories.values.flatMap { it.entries }
 
-    /** Number of agents in the fleet, or 0 if it is unknown. A control process that has just started counts too few. */
-    val agents: Int get() = agentCounts.values.maxOrNull() ?: 0
-
-    /** Rises whenever [entries] or [agents] may have changed. */
+    /** Rises whenever [entries] or [agentsOf] may have changed. */
     var directoryVersion = 0L
         private set
 
@@ -60,6 +59,17 @@
         loop.every(CHECK_PERIOD) { maintainLinks() }
     }
 
+    /** Returns the number of agents of [service], or 0 if it is unknown. A control process that has just started counts too few. */
+    fun agentsOf(service: ServiceId): Int = agentCounts.values.maxOfOrNull { it[service] ?: 0 } ?: 0
+
+    /** Tells control that the target of this agent offers [service]. */
+    fun announceService(service: ServiceId) {
+        if (service == announcedService) return
+        announcedService = service
+        val text = WireJson.encodeToString(ControlFrame(service = service))
+        dialers.values.forEach { it.link?.send(text) }
+    }
+
     /** Replaces the seeds by [next]. Control processes that were known before keep their links. */
     fun useSeeds(next: List<Address>) {
         seeds = next.map { LinkPorts.control(settings, it.host) }
@@ -113,6 +123,7 @@
     ) : LinkListener {
         override fun onOpen(link: FrameLink) {
             link.send(helloText)
+            announcedService?.let { link.send(WireJson.encodeToString(ControlFrame(service = it))) }
             logDecision(Decision(kind = "control_reached", reason = "$address"))
         }
 
@@ -123,7 +134,7 @@
             if (text == EMPTY_FRAME) return
             val frame = WireJson.decodeFromString<ControlFrame>(text)
             frame.directory?.let { directories[address] = it }
-            frame.agents?.let { agentCounts[address] = it }
+            frame.agents?.let { counts -> agentCounts[address] = counts.associate { it.service to it.agents } }
             if (frame.directory != null || frame.agents != null) directoryVersion++
             frame.state?.let { applyState(it) }
         }
