Fewer frames between entries and agents

Most frames into an entry were capacity reports every 50 ms, and heartbeats beside them. Change: reports without ends every 100 ms at most; a heartbeat only where nothing was sent for 120 ms; the directories are looked at twice a second when nothing changed.

--- a/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
@@ -240,8 +240,8 @@
         val addresses = (others.map { it.address } + seeds).toSet() - self
         (addresses - dialers.keys).forEach { dial(it) }
         (dialers.keys - addresses).forEach { dialers.remove(it)?.stop() }
-        dialers.values.forEach { it.closeIfSilent() }
-        processes.keys.toList().forEach { it.closeIfSilent(LINK_TIMEOUT) }
+        dialers.values.forEach { it.closeIfSilent(now) }
+        processes.keys.toList().forEach { it.closeIfSilent(LINK_TIMEOUT, now) }
         sendHeartbeats(now)
         broadcastDirectory(status)
         leaderSince = if (status?.role == Role.LEADER) leaderSince ?: now else null
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/JobScheduler.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/JobScheduler.kt
@@ -477,7 +477,7 @@
          */
         val MAX_WAIT_AT_AGENT = 70.milliseconds
 
-        /** Reports arrive on each change of capacity and at least every 120 ms; the margin allows for processes short of processor time. */
+        /** Reports arrive or are confirmed at least every 120 ms; the margin allows for processes short of processor time. */
         val MAX_REPORT_AGE = 180.milliseconds
 
         /** Minimum time to find capacity for a job whose estimate exceeds its objective. */
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/AgentNode.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/AgentNode.kt
@@ -63,7 +63,6 @@
     private var lastLinkNumber = 0L
     private var isFlushScheduled = false
     private var lastReportAt = Duration.ZERO
-    private var lastHeartbeatAt = Duration.ZERO
 
     /** Number of runs that are not over. */
     val openRuns: Int get() = runManager.openRuns
@@ -108,10 +107,8 @@
         }
         val now = clock.monotonic()
         updateEntries(now)
-        entries.values.forEach { it.dialer.closeIfSilent() }
+        entries.values.forEach { it.dialer.closeIfSilent(now) }
         runManager.tick()
-        if (now - lastHeartbeatAt < LinkTiming.HEARTBEAT_PERIOD) return
-        lastHeartbeatAt = now
         sendHeartbeats(now)
     }
 
@@ -153,9 +150,10 @@
     }
 
     private fun sendHeartbeats(now: Duration) {
-        lastReportAt = now
+        val receivers = links.values.filter { it.isHeartbeatDue(now) }
+        if (receivers.isEmpty()) return
         val capacity = runManager.capacityReport()
-        links.values.forEach { it.flush(capacity, isHeartbeat = true) }
+        receivers.forEach { it.flush(capacity, isHeartbeat = true) }
     }
 
     private inner class Entry(
@@ -189,6 +187,8 @@
             return now - since >= RETIREMENT_DELAY && id?.let { runManager.hasRunsOf(it) } != true
         }
 
+        fun isHeartbeatDue(now: Duration) = dialer.link?.let { now - it.lastSentAt >= LinkTiming.HEARTBEAT_PERIOD } == true
+
         fun add(report: TaskReport) {
             outcomes += report
             if (report.event != TaskEvent.STARTED) hasUrgentOutcomes = true
@@ -284,7 +284,7 @@
 
     private companion object {
         /** Longest time between two looks at the directories; a changed directory is used at once. */
-        val ROSTER_UPDATE_PERIOD = 200.milliseconds
+        val ROSTER_UPDATE_PERIOD = 500.milliseconds
 
         /** Long enough that tasks sent before the entry learned of the retirement have arrived. */
         val RETIREMENT_DELAY = 1.seconds
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
@@ -49,7 +49,6 @@
     private val scheduler = JobScheduler(clock, Outputs(), LinkTiming.LOST_LINK_RUN_TIMEOUT)
     private val server = FrameServer(loop, clock, address.host, address.port, AgentListener())
     private var lastLinkNumber = 0L
-    private var lastHeartbeatAt = Duration.ZERO
     private var isStopping = false
     private var isListening = false
 
@@ -117,11 +116,9 @@
         if (!isListening) server.start()
         isListening = true
         val now = clock.monotonic()
-        links.values.toList().forEach { it.closeIfSilent(LinkTiming.LINK_TIMEOUT) }
+        links.values.toList().forEach { it.closeIfSilent(LinkTiming.LINK_TIMEOUT, now) }
         scheduler.tick()
-        if (now - lastHeartbeatAt < LinkTiming.HEARTBEAT_PERIOD) return
-        lastHeartbeatAt = now
-        links.values.forEach { it.send(EMPTY_FRAME) }
+        links.values.forEach { if (now - it.lastSentAt >= LinkTiming.HEARTBEAT_PERIOD) it.send(EMPTY_FRAME) }
     }
 
     private fun pending(link: LinkId): PendingDispatches {
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/LinkTiming.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/LinkTiming.kt
@@ -24,6 +24,6 @@
      */
     val LOST_LINK_RUN_TIMEOUT = LINK_TIMEOUT * 2 + 200.milliseconds
 
-    /** Shortest time between two capacity reports without urgent outcomes. Shorter than the time for which a task waits at one agent. */
-    val MIN_REPORT_INTERVAL = 50.milliseconds
+    /** Shortest time between two capacity reports without urgent outcomes. */
+    val MIN_REPORT_INTERVAL = 100.milliseconds
 }
--- a/transport/src/main/kotlin/io/bluebellramp/transport/ControlLinks.kt
+++ b/transport/src/main/kotlin/io/bluebellramp/transport/ControlLinks.kt
@@ -85,7 +85,7 @@
             .keys
             .toList()
             .forEach { removeLink(it) }
-        dialers.values.forEach { it.closeIfSilent() }
+        dialers.values.forEach { it.closeIfSilent(now) }
         if (now - lastHeartbeatAt < HEARTBEAT_PERIOD) return
         lastHeartbeatAt = now
         dialers.values.forEach { it.link?.send(EMPTY_FRAME) }
--- a/transport/src/main/kotlin/io/bluebellramp/transport/FrameDialer.kt
+++ b/transport/src/main/kotlin/io/bluebellramp/transport/FrameDialer.kt
@@ -32,8 +32,8 @@
     fun start() = dial()
 
     /** Closes the link if no frame was received for [silence]. Call it several times in each such interval. */
-    fun closeIfSilent() {
-        link?.closeIfSilent(silence)
+    fun closeIfSilent(now: Duration) {
+        link?.closeIfSilent(silence, now)
     }
 
     /** Closes the link and does not reconnect. */
--- a/transport/src/main/kotlin/io/bluebellramp/transport/FrameLink.kt
+++ b/transport/src/main/kotlin/io/bluebellramp/transport/FrameLink.kt
@@ -39,6 +39,10 @@
     var lastReceivedAt: Duration = clock.monotonic()
         internal set
 
+    /** When the last frame was sent, or when the link was opened if there was none. */
+    var lastSentAt: Duration = lastReceivedAt
+        private set
+
     /** True until the connection is closed by either side. */
     val isOpen: Boolean get() = channel.isActive
 
@@ -53,18 +57,20 @@
             close()
             return
         }
+        lastSentAt = clock.monotonic()
         channel.writeAndFlush(Unpooled.wrappedBuffer(text.encodeToByteArray()), channel.voidPromise())
     }
 
     /** Closes the connection if no frame was received for [timeout]. Frames that arrived while the process was busy are read first. */
-    fun closeIfSilent(timeout: Duration) {
-        if (!isSilent(timeout)) return
+    fun closeIfSilent(
+        timeout: Duration,
+        now: Duration,
+    ) {
+        if (now - lastReceivedAt <= timeout) return
         // A new timer runs only after the loop has looked for input again.
-        channel.eventLoop().schedule({ if (isSilent(timeout)) close() }, 0, TimeUnit.NANOSECONDS)
+        channel.eventLoop().schedule({ if (clock.monotonic() - lastReceivedAt > timeout) close() }, 0, TimeUnit.NANOSECONDS)
     }
 
-    private fun isSilent(timeout: Duration) = clock.monotonic() - lastReceivedAt > timeout
-
     /** Closes the connection. */
     fun close() {
         channel.close()
--- a/transport/src/test/kotlin/io/bluebellramp/transport/FrameLinkTest.kt
+++ b/transport/src/test/kotlin/io/bluebellramp/transport/FrameLinkTest.kt
@@ -84,7 +84,7 @@
         FrameServer(serverLoop, SystemClock, address.host, address.port, beats).start()
         val dialer = FrameDialer(loop, SystemClock, address, silence, busyListener)
         loop.execute { dialer.start() }
-        loop.every(10.milliseconds) { dialer.closeIfSilent() }
+        loop.every(10.milliseconds) { dialer.closeIfSilent(SystemClock.monotonic()) }
         assertEquals("end", nextEvent())
         serverLoop.close()
     }
@@ -94,7 +94,7 @@
         val dialer = FrameDialer(loop, SystemClock, address, 100.milliseconds, RecordingListener("dialer"))
         FrameServer(loop, SystemClock, address.host, address.port, RecordingListener("server")).start()
         loop.execute { dialer.start() }
-        loop.every(10.milliseconds) { dialer.closeIfSilent() }
+        loop.every(10.milliseconds) { dialer.closeIfSilent(SystemClock.monotonic()) }
         assertEquals(setOf("dialer closed", "server closed"), setOf(nextEvent(), nextEvent()))
     }
 }
