Entries and agents tick every 20 ms

Cause: a process without work took 18 (entry) and 25 (agent) ms of processor time a second on this machine, loaded, in one run of 10 s each with nothing to connect to; a hundred ticks a second are a part of that, in 100 processes. Change: LinkTiming.TICK.

--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/LinkTiming.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/LinkTiming.kt
@@ -5,7 +5,7 @@
 /** Timing of the links between entries and agents. Both sides and the simulations use the same values. */
 object LinkTiming {
     /** Period of the timer that drives the state machines. */
-    val TICK = 10.milliseconds
+    val TICK = 20.milliseconds
 
     /** Each side sends a frame at least this often. */
     val HEARTBEAT_PERIOD = 120.milliseconds
