--- a/review/harness/Case.java
+++ b/review/harness/Case.java
@@ -18,6 +18,11 @@
 
     void prepare() {}
 
+    /** Starts what the case needs before it is played. */
+    void start() throws Exception {
+        cluster.start();
+    }
+
     /** Plays the case and returns true if the rule was broken. */
     abstract boolean play() throws Exception;
 
@@ -27,7 +32,7 @@
             recorder = new Recorder(Path.of(folder, "record.txt"));
             cluster = new Cluster(recorder, sides());
             prepare();
-            cluster.start();
+            start();
             boolean isBroken = play();
             recorder.say("%s, disruption %s", isBroken ? "the rule was BROKEN" : "the rule held", trouble ? "on" : "off");
             code = isBroken ? BROKEN : HELD;
--- a/review/harness/Cluster.java
+++ b/review/harness/Cluster.java
@@ -178,21 +178,31 @@
 
     /** Sends the configuration with this version to the controls until one acknowledges it. */
     void configure(int version) throws Exception {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(40);
+        for (int attempt = 0; System.nanoTime() < until; attempt++) {
+            if (sendConfiguration(version, attempt % FRONTS) == 200) return;
+            Thread.sleep(200);
+        }
+        throw new IOException("no control acknowledged version " + version);
+    }
+
+    /** Sends the configuration with this version to one control; returns the status or 0. */
+    int sendConfiguration(int version, int front) {
         String body = "{\"version\":" + version + ",\"routes\":[{\"name\":\"r-3hwrr6x\",\"host\":\"" + HOST + "\",\"pathPrefix\":\"" + PREFIX
             + "\",\"type\":\"unsafe\",\"timeoutMs\":1500,\"targetLatencyMs\":60,\"priority\":0,\"service\":\"" + SERVICE
             + "\",\"maxAttempts\":3,\"stretch\":1.6}],\"services\":[{\"name\":\"" + SERVICE
             + "\",\"healthPath\":\"/health\",\"maxConnections\":64,\"protocol\":\"h1\",\"tls\":false,\"coldStartS\":0.0,\"coldPerS\":0.0,"
             + "\"rejectsOverload\":false,\"standby\":false}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,"
             + "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}";
-        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(40);
-        for (int attempt = 0; System.nanoTime() < until; attempt++) {
-            String address = frontHost(attempt % FRONTS) + ":" + (port + 2);
-            int status = operator("POST", address, "/bluebellramp/config/replace", body);
-            recorder.line("operator: version %d to %s -> %d", version, address, status);
-            if (status == 200) return;
-            Thread.sleep(200);
-        }
-        throw new IOException("no control acknowledged version " + version);
+        String address = frontHost(front) + ":" + (port + 2);
+        int status = operator("POST", address, "/bluebellramp/config/replace", body);
+        recorder.line("operator: version %d to %s -> %d", version, address, status);
+        return status;
+    }
+
+    /** Reads the configuration at one control; returns the status or 0. */
+    int readConfiguration(int front) {
+        return get(frontHost(front) + ":" + (port + 2), "/bluebellramp/config/describe");
     }
 
     /** A call of the operator that follows redirects twice; returns the status or 0. */
