A run that a restarted target has started is no longer given up while it goes on

Cause: only heartbeats told the agent of a new life. Lists of the new life, which came first, were taken for the former one's; the first heartbeat then ended the runs of the new life while they went on. Evidence: run_over 'the target started again' at the agent, task_back and placed at the entry, the end of the first run in the target's next list. Ruled out: leases and stops (the first run had neither lapsed nor been stopped when the second began). Change: TargetIdentity; each list says which life answered, and the first list of another life decides which runs are over. An announcement of another life is believed once the target has answered as it. Why it works: a run now ends only by evidence that was requested after its order had been answered. Test replaced: 'the runs of a restarted target are over' took the announcement alone as proof that they are; it now needs the answer of the new life. 'outdated announcements' has the same two cases.

--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/RunManager.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/RunManager.kt
@@ -38,6 +38,7 @@
  * @param zone availability zone of the VM
  * @param lease time after which the target ends all runs if this agent does not extend the lease
  * @param fence greater than the fence of every earlier agent of this target
+ * @param longestLease longest lease that the target grants
  */
 class RunManager(
     private val clock: Clock,
@@ -46,18 +47,20 @@
     private val zone: ZoneId,
     lease: Duration,
     private var fence: Long,
+    longestLease: Duration = lease,
 ) {
     private val runs = HashMap<TaskKey, Run>()
     private val queue = RunQueue<Run>()
     private val runNumbers = RunNumbers()
     private val healthMonitor = TargetHealthMonitor()
-    private var currentTarget: TargetDescription? = null
+    private val identity = TargetIdentity()
+    private val currentTarget get() = identity.current
     private var zonesOut: Set<ZoneId> = emptySet()
     private var isStopping = false
 
     /** Runs that an earlier agent left. Their needs are unknown, so nothing starts until they have ended. */
     private val orphanedRuns = HashSet<RunKey>()
-    private val targetLease = TargetLease(clock, lease)
+    private val targetLease = TargetLease(clock, lease, longestLease)
     private var acknowledged = 0L
 
     /** Number of runs that are not over, including those that wait for capacity. */
@@ -78,6 +81,7 @@
             val current = currentTarget
             return when {
                 current == null -> "no target"
+                !identity.isAnnounced -> "the target started again and has not announced itself"
                 current.isDraining -> "the target leaves"
                 zone in zonesOut -> "zone $zone is out of service"
                 isStopping -> "the agent stops"
@@ -115,17 +119,38 @@
         )
     }
 
-    /** Processes an announcement of the target. Returns false if [next] is older than the last one. */
+    /**
+     * Processes an announcement of the target. Returns false if [next] is older than the last one of the same life. An announcement of
+     * another life is in force once the target has answered as that life.
+     */
     fun targetAnnounced(next: TargetDescription): Boolean {
-        val current = currentTarget
-        if (current != null) {
-            if (next.life < current.life) return false
-            if (next.id == current.id && next.life == current.life && next.sequence <= current.sequence) return false
+        val wasDraining = currentTarget?.isDraining == true
+        when (identity.announced(next)) {
+            Announcement.OUTDATED -> {
+                return false
+            }
+
+            Announcement.UPDATED -> {
+                if (!wasDraining && next.isDraining) recordDecision("target_leaves", null, "target" to next.id)
+                if (!targetLease.isCallOpen) requestLease()
+            }
+
+            Announcement.FIRST -> {
+                onTargetSeen(next)
+                requestLease()
+            }
+
+            Announcement.UNCONFIRMED -> {
+                recordDecision(
+                    "target_unconfirmed",
+                    null,
+                    "target" to next.id,
+                    "life" to next.life,
+                    "current" to currentTarget?.life.toString(),
+                )
+                requestLease()
+            }
         }
-        if (current == null || current.id != next.id || current.life != next.life) replaceTarget(next)
-        if (current != null && !current.isDraining && next.isDraining) recordDecision("target_leaves", null, "target" to next.id)
-        currentTarget = next
-        if (!targetLease.isCallOpen) requestLease()
         advance()
         return true
     }
@@ -135,7 +160,7 @@
         if (currentTarget?.id != id) return
         recordDecision("target_gone", null, "target" to id)
         forgetTarget("the target left")
-        currentTarget = null
+        identity.left()
         outputs.capacityChanged()
     }
 
@@ -198,13 +223,14 @@
         advance()
     }
 
-    private fun replaceTarget(next: TargetDescription) {
+    private fun onTargetSeen(next: TargetDescription) {
         recordDecision("target_seen", null, "target" to next.id, "life" to next.life, "cpu" to next.milliCpu)
-        forgetTarget("the target started again")
+        forgetTarget("another target is at this address")
         runNumbers.clear()
         healthMonitor.reset()
     }
 
+    /** Ends all runs because the target that had them is gone. */
     private fun forgetTarget(reason: String) {
         for (run in runs.values.filter { it.usesCapacity }) finish(run, TaskEvent.STOPPED, reason)
         orphanedRuns.clear()
@@ -212,6 +238,19 @@
         targetLease.reset()
     }
 
+    /**
+     * Prepares for the list of a new life of the same target. Runs end only by that list, since an order to start that was sent to the former
+     * life may have reached the new one.
+     */
+    private fun onTargetRestarted(life: Long) {
+        recordDecision("target_restarted", null, "target" to checkNotNull(currentTarget).id, "life" to life)
+        acknowledged = 0
+        healthMonitor.reset()
+        targetLease.targetRestarted(clock.monotonic())
+        // The new life does not know the orders to stop that the former one answered.
+        for (run in runs.values.filter { it.state == RunState.STOPPING }) run.stopAnsweredAt = null
+    }
+
     private fun stopAll(
         reason: String,
         matches: (Run) -> Boolean,
@@ -228,7 +267,7 @@
             queue.removeAll { true }.forEach { finishNotStarted(it, reason) }
         } else {
             queue.takeExpired(now).forEach { finishNotStarted(it, NO_CAPACITY) }
-            if (orphanedRuns.isEmpty()) startFitting(now)
+            if (orphanedRuns.isEmpty() && !identity.isUnconfirmed) startFitting(now)
         }
         outputs.capacityChanged()
     }
@@ -337,7 +376,8 @@
         val number = targetLease.callStarted()
         if (until != null) targetLease.granted(now)
         // The first answer is needed at once to learn the clock of the target.
-        val wait = if (until == null || orphanedRuns.isNotEmpty() || hasUncertainRun()) Duration.ZERO else MAX_LEASE_ANSWER_DELAY
+        val isUrgent = until == null || orphanedRuns.isNotEmpty() || identity.isUnconfirmed || hasUncertainRun()
+        val wait = if (isUrgent) Duration.ZERO else MAX_LEASE_ANSWER_DELAY
         target.lease(current.id, until, acknowledged, fence, wait) { if (targetLease.isLatestCall(number)) onLeaseResult(it, sentAt = now) }
     }
 
@@ -358,7 +398,11 @@
             LeaseResult.OtherTarget -> {
                 recordDecision("other_target", null, "target" to checkNotNull(currentTarget).id)
                 forgetTarget("another target is at this address")
-                currentTarget = null
+                identity.answeredByOther()
+                currentTarget?.let {
+                    onTargetSeen(it)
+                    requestLease()
+                }
             }
 
             // The next tick retries the call.
@@ -372,6 +416,8 @@
         sentAt: Duration,
     ) {
         val now = clock.monotonic()
+        val isNewLife = identity.answered(result.life)
+        if (isNewLife) onTargetRestarted(checkNotNull(currentTarget).life)
         if (targetLease.callAnswered(result.clock, sentAt)) recordDecision("target_reached", null, "running" to result.running.size)
         for (end in result.ended) {
             if (end.number <= acknowledged) continue
@@ -380,7 +426,7 @@
             val run = runs[end.run.task]?.takeIf { it.usesCapacity && it.number == end.run.number } ?: continue
             onRunEnded(run, end.end, now)
         }
-        reconcile(result.running, sentAt, now)
+        reconcile(result.running, sentAt, now, isNewLife)
     }
 
     private fun onRunEnded(
@@ -415,6 +461,7 @@
         running: Map<RunKey, Int>,
         sentAt: Duration,
         now: Duration,
+        isNewLife: Boolean,
     ) {
         orphanedRuns.clear()
         for ((key, percent) in running) {
@@ -427,11 +474,26 @@
             if (run.key in running || lastAnswerAt >= sentAt) continue
             when (run.state) {
                 // The unanswered order to start may still arrive; an order to stop keeps the run from starting.
-                RunState.UNSURE -> requestStop(run, "the order to start got no answer")
+                RunState.UNSURE -> {
+                    requestStop(run, "the order to start got no answer")
+                }
 
-                RunState.STOPPING -> finish(run, run.eventIfUnlisted, run.stopReason)
+                RunState.STOPPING -> {
+                    finish(run, run.eventIfUnlisted, run.stopReason)
+                }
 
-                else -> requestStop(run, "the target does not know the run")
+                // The run was at the former life if this is the first list of a new one: its order to start had been answered before.
+                else -> {
+                    if (isNewLife) {
+                        finish(
+                            run,
+                            TaskEvent.STOPPED,
+                            TARGET_RESTARTED,
+                        )
+                    } else {
+                        requestStop(run, "the target does not know the run")
+                    }
+                }
             }
         }
     }
@@ -501,5 +563,6 @@
         const val FENCE_STEP = 1000L
         val NO_JOB = JobId("")
         const val NO_CAPACITY = "no room in time"
+        const val TARGET_RESTARTED = "the target started again"
     }
 }
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/TargetLease.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/TargetLease.kt
@@ -10,10 +10,12 @@
  * A target ends all runs by itself when the lease expires. Lease calls extend it and return the state of the runs.
  *
  * @param duration time from the grant of a lease to its end, on the clock of the target
+ * @param longest time after which a target ends runs whatever end of the lease it was told
  */
 internal class TargetLease(
     private val clock: Clock,
     private val duration: Duration,
+    private val longest: Duration = duration,
 ) {
     private var targetClock: TargetClock? = null
 
@@ -83,12 +85,21 @@
     /** Returns whether the target is unreachable and every lease has expired, so that it has ended all runs by itself. */
     fun hasLapsed(now: Duration) = !isReachable && expiresBy < now
 
+    /**
+     * Records that the target answered as a new life at [now]. The clock of the former life was ahead of the new one, so a lease granted by it
+     * may last as long as the target permits.
+     */
+    fun targetRestarted(now: Duration) {
+        targetClock = null
+        expiresBy = maxOf(expiresBy, now + longest * TargetClock.MAX_DRIFT_FACTOR + EXPIRY_MARGIN)
+    }
+
     /** Discards the clock of the target until the next answer. */
     fun forgetClock() {
         targetClock = null
     }
 
-    /** Resets the state because the target was replaced or has restarted. Granted leases remain in force. */
+    /** Resets the state because the target was replaced. Granted leases remain in force. */
     fun reset() {
         targetClock = null
         isReachable = false
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/AgentNode.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/AgentNode.kt
@@ -58,8 +58,9 @@
     private var rosterUpdatedAt: Duration? = null
     private var rosterVersion = 0L
     private val pauseDetector = PauseDetector(clock)
-    private val lease = minOf(LinkTiming.RUN_LEASE, settings.longestLeaseMillis.milliseconds)
-    private val runManager = RunManager(clock, target, Outputs(), settings.zone, lease, initialFence())
+    private val longestLease = settings.longestLeaseMillis.milliseconds
+    private val lease = minOf(LinkTiming.RUN_LEASE, longestLease)
+    private val runManager = RunManager(clock, target, Outputs(), settings.zone, lease, initialFence(), longestLease)
     private var lastLinkNumber = 0L
     private var isFlushScheduled = false
     private var lastReportAt = Duration.ZERO
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/Fakes.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/Fakes.kt
@@ -164,8 +164,9 @@
         running: List<RunKey> = emptyList(),
         percent: Int = 0,
         ended: List<Pair<RunKey, RunEnd>> = emptyList(),
+        life: Long = 1,
     ) {
         val listed = ended.map { (run, end) -> ListedEnd(++lastEndNumber, run, end) }
-        leases.last().answer(LeaseResult.RunList(life = 1, clock = clock, running = running.associateWith { percent }, ended = listed))
+        leases.last().answer(LeaseResult.RunList(life = life, clock = clock, running = running.associateWith { percent }, ended = listed))
     }
 }
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/RunManagerTest.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/RunManagerTest.kt
@@ -377,17 +377,146 @@
         fun `outdated announcements are ignored`() {
             connectTarget()
             assertTrue(runManager.targetAnnounced(targetDescription(life = 2, sequence = 5)))
-            assertFalse(runManager.targetAnnounced(targetDescription(life = 1, sequence = 9, draining = true)))
+            target.answerLease(life = 2)
             assertFalse(runManager.targetAnnounced(targetDescription(life = 2, sequence = 4, draining = true)))
+            assertFalse(runManager.targetAnnounced(targetDescription(life = 1, sequence = 9, draining = true)))
+            assertTrue(runManager.capacityReport().accepting)
+        }
+    }
+
+    @Nested
+    inner class Restarts {
+        private fun startRun(): RunKey {
+            runManager.dispatch(entry, dispatch())
+            return confirmStart().also { clock.advance(1.milliseconds) }
+        }
+
+        /** Answers the latest lease call with an end that has [number] in its life. */
+        private fun answerEnd(
+            number: Long,
+            run: RunKey,
+            life: Long,
+        ) = target.leases.last().answer(
+            LeaseResult.RunList(life, target.clock, running = emptyMap(), ended = listOf(ListedEnd(number, run, RunEnd.DONE))),
+        )
+
+        @Test
+        fun `the runs of a restarted target are over once the new life has answered`() {
+            connectTarget()
+            startRun()
+            runManager.targetAnnounced(targetDescription(life = 2))
+            assertEquals(listOf(TaskEvent.STARTED), events())
+            target.answerLease(life = 2)
+            assertEquals(listOf(TaskEvent.STARTED, TaskEvent.STOPPED), events())
+        }
+
+        // Guards against a task running twice at once after a target started again under its id.
+        @Test
+        fun `a run that a new life started before its first heartbeat is not given up while it goes on`() {
+            connectTarget()
+            val run = startRun()
+            target.answerLease(running = listOf(run), life = 2)
+            runManager.targetAnnounced(targetDescription(life = 2))
+            target.answerLease(running = listOf(run), life = 2)
+            assertEquals(listOf(TaskEvent.STARTED), events())
+            assertEquals(emptyList(), target.stops)
+            answerEnd(number = 1, run, life = 2)
+            assertEquals(listOf(TaskEvent.STARTED, TaskEvent.DONE), events())
         }
 
         @Test
-        fun `the runs of a restarted target are over`() {
+        fun `an order that may have reached the new life is stopped before its task is returned`() {
             connectTarget()
             runManager.dispatch(entry, dispatch())
-            confirmStart()
+            target.starts.single().answer(StartResult.NoAnswer)
+            clock.advance(1.milliseconds)
+            target.answerLease(life = 2)
+            target.answerLease(life = 2)
+            assertEquals(1, target.stops.size)
+            assertEquals(emptyList(), events())
+            target.stops.single().answer(true)
+            clock.advance(1.milliseconds)
+            target.answerLease(life = 2)
+            target.answerLease(life = 2)
+            assertEquals(listOf(TaskEvent.NOT_STARTED), events())
+        }
+
+        @Test
+        fun `an order to stop that the former life answered is sent to the new life`() {
+            connectTarget()
+            runManager.dispatch(entry, dispatch())
+            target.starts.single().answer(StartResult.NoAnswer)
+            runManager.stopJob(entry, JobId("00000000000000a1"))
+            target.stops.single().answer(true)
+            clock.advance(101.milliseconds)
+            target.answerLease(life = 2)
+            target.answerLease(life = 2)
+            runManager.tick()
+            assertEquals(2, target.stops.size)
+            assertEquals(emptyList(), events())
+        }
+
+        @Test
+        fun `ends of a new life are counted from its first`() {
+            connectTarget()
+            answerEnd(number = 7, RunKey(TaskKey(JobId("00000000000000ff"), 0, 0), 1), life = 1)
+            val run = startRun()
+            answerEnd(number = 1, run, life = 2)
+            assertEquals(listOf(TaskEvent.STARTED, TaskEvent.DONE), events())
+            assertEquals(1, target.leases.last().acknowledged)
+        }
+
+        @Test
+        fun `nothing starts at a new life before it has announced its capacity`() {
+            connectTarget()
+            target.answerLease(life = 2)
+            runManager.dispatch(entry, dispatch())
+            assertEquals(listOf(TaskEvent.NOT_STARTED), events())
             runManager.targetAnnounced(targetDescription(life = 2))
+            runManager.dispatch(entry, dispatch(attempt = 2))
+            assertEquals(1, target.starts.size)
+        }
+
+        @Test
+        fun `a delayed announcement of a former life with a later start ends no run`() {
+            connectTarget()
+            val run = startRun()
+            runManager.targetAnnounced(targetDescription(life = 9, sequence = 4, draining = true))
+            target.answerLease(running = listOf(run))
+            assertEquals(listOf(TaskEvent.STARTED), events())
+            assertTrue(runManager.capacityReport().accepting)
+        }
+
+        @Test
+        fun `a delayed announcement of a former target ends no run`() {
+            connectTarget()
+            val run = startRun()
+            runManager.targetAnnounced(targetDescription(id = "t0", life = 9))
+            target.answerLease(running = listOf(run))
+            assertEquals(listOf(TaskEvent.STARTED), events())
+            assertTrue(runManager.capacityReport().accepting)
+        }
+
+        @Test
+        fun `nothing starts until the target has answered whether an announcement of another life is true`() {
+            connectTarget()
+            runManager.targetAnnounced(targetDescription(life = 2))
+            runManager.dispatch(entry, dispatch())
+            assertEquals(emptyList(), target.starts)
+            target.answerLease(life = 2)
+            assertEquals(1, target.starts.size)
+        }
+
+        @Test
+        fun `another target at the address takes the place of the former one`() {
+            connectTarget()
+            startRun()
+            runManager.targetAnnounced(targetDescription(id = "t2", life = 1))
+            target.leases.last().answer(LeaseResult.OtherTarget)
             assertEquals(listOf(TaskEvent.STARTED, TaskEvent.STOPPED), events())
+            target.answerLease()
+            runManager.dispatch(entry, dispatch(attempt = 2))
+            assertEquals(2, target.starts.size)
         }
     }
 
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/history/JobsSimulationTest.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/history/JobsSimulationTest.kt
@@ -63,7 +63,7 @@
             when (sim.random.nextInt(7)) {
                 0 -> killAgent()
                 1 -> killEntry()
-                2 -> targets.random(sim.random).crash()
+                2 -> targets.random(sim.random).crash(keepsId = sim.chance(0.5))
                 3 -> links.randomOrNull(sim.random)?.reset()
                 4 -> cutLinks()
                 5 -> links.filter { sim.chance(0.3) }.forEach { it.retire() }
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/history/SimSystem.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/history/SimSystem.kt
@@ -264,7 +264,10 @@
             val isDelayed = hasOrderFaults() && sim.chance(0.08)
             val isAnswerLost = hasOrderFaults() && sim.chance(0.05)
             val delay = if (isDelayed) (2000 + sim.random.nextInt(8000)).milliseconds else sim.messageDelay()
+            val life = this@SimAgent.target.life
             sim.after(delay) {
+                // A call that a target has received and carries out late ends with the life of the target.
+                if (isDelayed && life != this@SimAgent.target.life) return@after
                 val respond = { result: T -> sim.after(sim.messageDelay()) { if (!isDelayed && !isAnswerLost) finish(result) } }
                 if (expected != target.id) respond(otherTarget) else action(respond)
             }
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/history/SimTarget.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/history/SimTarget.kt
@@ -25,7 +25,8 @@
         val startedAt: Duration,
     )
 
-    val id get() = TargetId("$name-$life")
+    val id get() = TargetId("$name-$identityNumber")
+    private var identityNumber = 1
     var life = 1L
         private set
     var sequence = 0L
@@ -48,7 +49,9 @@
 
     fun nextSequence() = ++sequence
 
-    fun crash() {
+    /** Ends the life and starts another one, under the same id if [keepsId] is true. */
+    fun crash(keepsId: Boolean) {
+        if (!keepsId) identityNumber++
         life++
         sequence = 0
         running.clear()
