An order to stop is no longer overtaken by the dispatch before it

Cause: the frame of one batch of inputs lost the order of the decisions, since agents apply its stops before its dispatches; and a step was dispatched before another one was found too late. Ruled out: lost frames (the link lived) and leases (the runs were renewed to their end). Change: DispatchOutbox starts another frame for a stop that follows a dispatch of the same job; all ready steps are checked before the first is dispatched; a start reported for a job that has ended is stopped. Why it works: links keep the order of frames, so the agent applies decisions in the order they were made, also an agent of the former version.

--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/Job.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/Job.kt
@@ -87,6 +87,9 @@
         index: Int,
     ): JobTask? = tasks.find { it.step == step && it.index == index }
 
+    /** Returns the tasks that wait to be sent to an agent, by step in the order of the steps. */
+    fun waitingTasks(): Map<Int, List<JobTask>> = tasks.filter { it.state == TaskState.Waiting }.groupBy { it.step }
+
     fun isReady(step: Int) =
         request.steps[step].dependsOn.all { dependency ->
             tasks.all {
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/JobScheduler.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/JobScheduler.kt
@@ -141,8 +141,10 @@
         link: LinkId,
         report: TaskReport,
     ) {
-        val job = jobs[report.job] ?: return
-        val task = job.task(report.step, report.task) ?: return
+        val job = jobs[report.job]
+        // The order to stop may have been lost between two processes of different versions, or the job has ended since.
+        if (report.event == TaskEvent.STARTED && (job == null || job.endCause != null)) outputs.stop(link, report.job)
+        val task = job?.task(report.step, report.task) ?: return
         val state = task.state as? TaskState.AtAgent ?: return
         if (state.link != link || state.attempt != report.attempt) return
         when (report.event) {
@@ -273,13 +275,15 @@
     ) {
         if (job.tasks.none { it.state == TaskState.Waiting }) return
         val now = clock.monotonic()
+        val ready = job.waitingTasks().filterKeys { job.isReady(it) }
+        // No step is placed if another one comes too late: its tasks would start only to be stopped.
+        val isTooLate = ready.keys.any { now > latestStart(job, job.request.steps[it]) }
+        if (isTooLate) return end(job, EndCause.Aborted("no room in time", SHORT_RETRY))
         // What is placed for one step changes the agents' capacity for the next.
         var known = admitted
-        for ((step, body) in job.request.steps.withIndex()) {
-            val waiting = job.tasks.filter { it.step == step && it.state == TaskState.Waiting }
-            if (waiting.isEmpty() || !job.isReady(step)) continue
+        for ((step, waiting) in ready) {
+            val body = job.request.steps[step]
             val latestStart = latestStart(job, body)
-            if (now > latestStart) return end(job, EndCause.Aborted("no room in time", SHORT_RETRY))
             val tasksByLink = chooseAgents(body, waiting, known ?: candidates(job, now), latestStart - now)
             known = null
             tasksByLink.forEach { (link, tasks) -> dispatchTasks(job, link, step, tasks, minOf(latestStart - now, MAX_WAIT_AT_AGENT)) }
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
@@ -6,6 +6,7 @@
 import io.bluebellramp.core.JobId
 import io.bluebellramp.core.WireJson
 import io.bluebellramp.jobs.Caller
+import io.bluebellramp.jobs.DispatchOutbox
 import io.bluebellramp.jobs.JobDecision
 import io.bluebellramp.jobs.JobOutputs
 import io.bluebellramp.jobs.JobRequest
@@ -43,7 +44,7 @@
     private val hello = ProcessHello(settings.node, ProcessRole.ENTRY, IncarnationId.create(), settings.zone, address)
     private val links = HashMap<LinkId, FrameLink>()
     private val linkIds = HashMap<FrameLink, LinkId>()
-    private val outbox = LinkedHashMap<LinkId, PendingDispatches>()
+    private val outboxes = LinkedHashMap<LinkId, DispatchOutbox>()
     private val pauseDetector = PauseDetector(clock)
     private val control = ControlLinks(settings, loop, clock, hello, ::applyState)
     private val scheduler = JobScheduler(clock, Outputs(), LinkTiming.LOST_LINK_RUN_TIMEOUT)
@@ -84,7 +85,7 @@
 
     /** Cancels the job with [id] at all agents, whichever entry owns it. Returns false if this entry does not own it. */
     fun cancel(id: JobId): Boolean {
-        links.keys.forEach { pending(it).cancels += id }
+        links.keys.forEach { outbox(it).cancel(id) }
         return scheduler.cancel(id)
     }
 
@@ -121,24 +122,16 @@
         links.values.forEach { if (now - it.lastSentAt >= LinkTiming.HEARTBEAT_PERIOD) it.send(EMPTY_FRAME) }
     }
 
-    private fun pending(link: LinkId): PendingDispatches {
-        if (outbox.isEmpty()) loop.execute(::flush)
-        return outbox.getOrPut(link) { PendingDispatches() }
+    private fun outbox(link: LinkId): DispatchOutbox {
+        if (outboxes.isEmpty()) loop.execute(::flush)
+        return outboxes.getOrPut(link) { DispatchOutbox() }
     }
 
-    /** Sends the results of one batch of inputs, as one frame for each agent. */
+    /** Sends the results of one batch of inputs, mostly as one frame for each agent. */
     private fun flush() {
-        val frames = outbox.toMap()
-        outbox.clear()
-        for ((link, pending) in frames) links[link]?.send(WireJson.encodeToString(pending.frame()))
-    }
-
-    private class PendingDispatches {
-        val dispatches = ArrayList<StepDispatch>()
-        val stops = LinkedHashSet<JobId>()
-        val cancels = LinkedHashSet<JobId>()
-
-        fun frame() = DispatchFrame(dispatches = dispatches, stops = stops.toList(), cancels = cancels.toList())
+        val pending = outboxes.toMap()
+        outboxes.clear()
+        for ((link, outbox) in pending) outbox.take().forEach { links[link]?.send(WireJson.encodeToString(it)) }
     }
 
     private inner class Outputs : JobOutputs {
@@ -146,14 +139,14 @@
             link: LinkId,
             dispatch: StepDispatch,
         ) {
-            pending(link).dispatches += dispatch
+            outbox(link).dispatch(dispatch)
         }
 
         override fun stop(
             link: LinkId,
             job: JobId,
         ) {
-            pending(link).stops += job
+            outbox(link).stop(job)
         }
 
         override fun onDecision(decision: JobDecision) = decision.log()
@@ -181,7 +174,7 @@
         override fun onClosed(link: FrameLink) {
             val id = linkIds.remove(link) ?: return
             links.remove(id)
-            outbox.remove(id)
+            outboxes.remove(id)
             scheduler.linkDown(id, link.lastReceivedAt)
             logDecision(
                 Decision(
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/JobSchedulerTest.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/JobSchedulerTest.kt
@@ -65,6 +65,33 @@
             assertEquals(listOf(0, 1), outputs.dispatches.map { it.second.step })
         }
 
+        // Guards against tasks that run beside those of the resubmitted job after an agent was lost.
+        @Test
+        fun `no step is dispatched when another one comes too late`() {
+            connectAgents(firstLink, secondLink)
+            val steps = listOf(StepRequest(1, 1000, 64, 100.milliseconds), StepRequest(1, 1000, 64, 1400.milliseconds))
+            scheduler.submit(request(steps = steps, timeout = 2500.milliseconds), caller)
+            val dispatched = outputs.dispatches.size
+            scheduler.linkDown(firstLink, clock.monotonic())
+            scheduler.linkDown(secondLink, clock.monotonic())
+            scheduler.linkUp(LinkId(3), "agent-3", ZoneId("z3"))
+            scheduler.capacityReported(LinkId(3), capacityReport())
+            clock.advance(1200.milliseconds)
+            scheduler.tick()
+            assertEquals(dispatched, outputs.dispatches.size)
+            assertIs<JobAnswer.Unfinished>(answers.single())
+        }
+
+        @Test
+        fun `a start that is reported for a job that has ended is stopped`() {
+            connectAgents(firstLink)
+            scheduler.submit(request(), caller)
+            val dispatch = outputs.dispatches.single().second
+            scheduler.cancel(dispatch.job)
+            report(firstLink, dispatch, TaskEvent.STARTED)
+            assertEquals(listOf(firstLink to dispatch.job, firstLink to dispatch.job), outputs.stops)
+        }
+
         @Test
         fun `a submission with the id of an open job joins it`() {
             connectAgents(firstLink)
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/history/SimSystem.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/history/SimSystem.kt
@@ -4,6 +4,7 @@
 import io.bluebellramp.core.TargetId
 import io.bluebellramp.core.ZoneId
 import io.bluebellramp.jobs.Caller
+import io.bluebellramp.jobs.DispatchOutbox
 import io.bluebellramp.jobs.JobAnswer
 import io.bluebellramp.jobs.JobDecision
 import io.bluebellramp.jobs.JobOutputs
@@ -23,6 +24,7 @@
 import io.bluebellramp.jobs.TargetDescription
 import io.bluebellramp.jobs.TargetPort
 import io.bluebellramp.jobs.node.LinkTiming
+import io.bluebellramp.messages.DispatchFrame
 import io.bluebellramp.messages.RoomReport
 import io.bluebellramp.messages.StepDispatch
 import io.bluebellramp.messages.TaskReport
@@ -168,25 +170,43 @@
         sim.every(LinkTiming.TICK, { isAlive }) { scheduler.tick() }
     }
 
+    private val outboxes = LinkedHashMap<LinkId, DispatchOutbox>()
+
+    private fun outbox(link: LinkId): DispatchOutbox {
+        if (outboxes.isEmpty()) sim.after(Duration.ZERO, ::flush)
+        return outboxes.getOrPut(link) { DispatchOutbox() }
+    }
+
+    private fun flush() {
+        val pending = outboxes.toMap()
+        outboxes.clear()
+        if (isAlive) pending.forEach { (link, outbox) -> links[link]?.let { send(it, outbox.take()) } }
+    }
+
+    private fun send(
+        link: SimLink,
+        frames: List<DispatchFrame>,
+    ) = frames.forEach { frame ->
+        link.sendToAgent {
+            val runManager = link.agent.runManager
+            frame.stops.forEach { runManager.stopJob(link.id, it) }
+            frame.dispatches.forEach {
+                link.addReceived(it.tasks.size)
+                runManager.dispatch(link.id, it)
+            }
+        }
+    }
+
     private inner class Outputs : JobOutputs {
         override fun dispatch(
             link: LinkId,
             dispatch: StepDispatch,
-        ) {
-            val simLink = links[link] ?: return
-            simLink.sendToAgent {
-                simLink.addReceived(dispatch.tasks.size)
-                simLink.agent.runManager.dispatch(link, dispatch)
-            }
-        }
+        ) = outbox(link).dispatch(dispatch)
 
         override fun stop(
             link: LinkId,
             job: JobId,
-        ) {
-            val simLink = links[link] ?: return
-            simLink.sendToAgent { simLink.agent.runManager.stopJob(link, job) }
-        }
+        ) = outbox(link).stop(job)
 
         override fun onDecision(decision: JobDecision) = Unit
     }
--- a/messages/src/main/kotlin/io/bluebellramp/messages/DispatchFrame.kt
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/DispatchFrame.kt
@@ -3,7 +3,7 @@
 import io.bluebellramp.core.JobId
 import kotlinx.serialization.Serializable
 
-/** A frame from an entry to an agent. An empty frame keeps the connection alive. */
+/** A frame from an entry to an agent. Stops and cancels apply before the dispatches. An empty frame keeps the connection alive. */
 @Serializable
 data class DispatchFrame(
     val hello: ProcessHello? = null,
