Lives of a target are no longer ordered by their start times

Cause: the agent took the announcements of a life with an earlier start time for late ones. Evidence: heartbeats answered 200 without target_seen or target_leaves at the agent. Ruled out: a lost acknowledgement (each heartbeat had its 200). Change: an announcement of another life waits for the answer of the target, whichever number is larger. Why it works: the answer to a call made after the announcement comes from the life that is there.

--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/TargetIdentity.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/TargetIdentity.kt
@@ -43,10 +43,6 @@
                 Announcement.FIRST
             }
 
-            next.life < known.life -> {
-                Announcement.OUTDATED
-            }
-
             known.id != next.id || known.life != next.life -> {
                 unconfirmed = next
                 Announcement.UNCONFIRMED
