The runs of a target that deregisters are over only by evidence

Callers and targets could see: a task on two targets at once in the moment between the answer to a deregistration and the end of the target, or after a late deregistration of a former life. Cause: the agent took the deregistration for the end of all runs, and compared no life. Ruled out: that renewing the lease is needed meanwhile (nothing new starts at a target that leaves). Change: TargetIdentity.hasLeft; no lease call and no start from then on; the runs end when they are listed, when all leases have expired, or when another target answers at the address.

--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/RunManager.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/RunManager.kt
@@ -82,7 +82,7 @@
             return when {
                 current == null -> "no target"
                 !identity.isAnnounced -> "the target started again and has not announced itself"
-                current.isDraining -> "the target leaves"
+                current.isDraining || identity.hasLeft -> "the target leaves"
                 zone in zonesOut -> "zone $zone is out of service"
                 isStopping -> "the agent stops"
                 !targetLease.isReachable -> "the target cannot be reached"
@@ -155,13 +155,22 @@
         return true
     }
 
-    /** Records that the target [id] has left. All of its runs are over. */
-    fun targetLeft(id: TargetId) {
-        if (currentTarget?.id != id) return
-        recordDecision("target_gone", null, "target" to id)
-        forgetTarget("the target left")
-        identity.left()
-        outputs.capacityChanged()
+    /**
+     * Records that the target [id] leaves for good. Its runs may go on for a moment, so they are over once they are listed as ended, once their leases
+     * have expired, or once another target is at the address.
+     *
+     * @param life the life that leaves, or null if it is not known; a life other than the current one is ignored
+     */
+    fun targetLeft(
+        id: TargetId,
+        life: Long? = null,
+    ) {
+        val current = currentTarget ?: return
+        if (current.id != id || identity.hasLeft || (life != null && life != current.life)) return
+        recordDecision("target_gone", null, "target" to id, "runs" to runs.values.count { it.usesCapacity })
+        identity.leaves()
+        endRunsOfLeavingTarget()
+        advance()
     }
 
     /** Processes tasks dispatched by the entry at [owner]. */
@@ -214,6 +223,7 @@
         val now = clock.monotonic()
         targetLease.detectSilence(now)?.let { recordDecision("target_silent", null, "since" to it) }
         if (targetLease.hasLapsed(now)) endExpiredRuns()
+        if (identity.hasLeft) endRunsOfLeavingTarget()
         if (targetLease.isRetryDue(now)) requestLease()
         for (run in runs.values.toList()) {
             val sent = run.stopSentAt
@@ -230,6 +240,21 @@
         healthMonitor.reset()
     }
 
+    /** Forgets a target that has left once none of its runs can go on. */
+    private fun endRunsOfLeavingTarget() {
+        val isOver = targetLease.allExpired(clock.monotonic()) || runs.values.none { it.usesCapacity }
+        if (isOver) replaceTarget("the target left")
+    }
+
+    /** Forgets the current target because it is gone, and turns to the one that has announced itself since, if any. */
+    private fun replaceTarget(reason: String) {
+        forgetTarget(reason)
+        identity.gone()
+        val next = currentTarget ?: return
+        onTargetSeen(next)
+        requestLease()
+    }
+
     /** Ends all runs because the target that had them is gone. */
     private fun forgetTarget(reason: String) {
         for (run in runs.values.filter { it.usesCapacity }) finish(run, TaskEvent.STOPPED, reason)
@@ -371,6 +396,8 @@
 
     private fun requestLease() {
         val current = currentTarget ?: return
+        // The leases of a target that has left are not extended; it is called only to find out whether another one has taken its place.
+        if (identity.hasLeft && !identity.isUnconfirmed) return
         val now = clock.monotonic()
         val until = targetLease.leaseEndFrom(now)
         val number = targetLease.callStarted()
@@ -397,12 +424,7 @@
 
             LeaseResult.OtherTarget -> {
                 recordDecision("other_target", null, "target" to checkNotNull(currentTarget).id)
-                forgetTarget("another target is at this address")
-                identity.answeredByOther()
-                currentTarget?.let {
-                    onTargetSeen(it)
-                    requestLease()
-                }
+                replaceTarget("another target is at this address")
             }
 
             // The next tick retries the call.
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/TargetIdentity.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/TargetIdentity.kt
@@ -31,6 +31,10 @@
     var isAnnounced = false
         private set
 
+    /** True once [current] has said that it leaves for good. It ends its runs, but they may go on for a moment. */
+    var hasLeft = false
+        private set
+
     /** True while an announcement of another life waits for an answer of the target. */
     val isUnconfirmed: Boolean get() = unconfirmed != null
 
@@ -53,8 +57,7 @@
             }
 
             else -> {
-                current = next
-                isAnnounced = true
+                become(next)
                 Announcement.UPDATED
             }
         }
@@ -76,27 +79,31 @@
         return true
     }
 
-    /** Processes the answer of a target with another id than [current]. An unconfirmed announcement of another id is now believed. */
-    fun answeredByOther() {
-        val next = unconfirmed?.takeIf { it.id != current?.id }
-        if (next == null) left() else become(next)
+    /** Records that [current] leaves for good. */
+    fun leaves() {
+        hasLeft = true
     }
 
-    /** Records that the current target is gone. */
-    fun left() {
+    /** Records that [current] is gone. An unconfirmed announcement of a target with another id is now believed. */
+    fun gone() {
+        val next = unconfirmed?.takeIf { it.id != current?.id }
+        if (next != null) return become(next)
         current = null
         unconfirmed = null
         isAnnounced = false
+        hasLeft = false
     }
 
     private fun become(next: TargetDescription) {
         current = next
         unconfirmed = null
         isAnnounced = true
+        hasLeft = false
     }
 
     private fun becomeUnannounced(next: TargetDescription) {
         current = next
         isAnnounced = false
+        hasLeft = false
     }
 }
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/TargetLease.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/TargetLease.kt
@@ -83,7 +83,10 @@
     }
 
     /** Returns whether the target is unreachable and every lease has expired, so that it has ended all runs by itself. */
-    fun hasLapsed(now: Duration) = !isReachable && expiresBy < now
+    fun hasLapsed(now: Duration) = !isReachable && allExpired(now)
+
+    /** Returns whether every lease has expired unless the target was given another one by somebody else. */
+    fun allExpired(now: Duration) = expiresBy < now
 
     /**
      * Records that the target answered as a new life at [now]. The clock of the former life was ahead of the new one, so a lease granted by it
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/AgentNode.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/AgentNode.kt
@@ -85,8 +85,11 @@
         return isNew
     }
 
-    /** Records that the target [id] has left for good. */
-    fun targetLeft(id: TargetId) = runManager.targetLeft(id)
+    /** Records that the target [id] leaves for good; ignored if [life] is given and is not its current life. */
+    fun targetLeft(
+        id: TargetId,
+        life: Long?,
+    ) = runManager.targetLeft(id, life)
 
     /** Accepts no new tasks from now on. */
     fun drain() = runManager.drain()
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/RunManagerTest.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/RunManagerTest.kt
@@ -530,6 +530,52 @@
             assertEquals(1, target.starts.size)
         }
 
+        @Test
+        fun `a run goes on until its lease has expired after the target has said that it leaves`() {
+            connectTarget()
+            startRun()
+            runManager.targetLeft(TargetId("t1"))
+            assertEquals(listOf(TaskEvent.STARTED), events())
+            clock.advance(lease)
+            runManager.tick()
+            assertEquals(listOf(TaskEvent.STARTED), events())
+            clock.advance(200.milliseconds)
+            runManager.tick()
+            assertEquals(listOf(TaskEvent.STARTED, TaskEvent.STOPPED), events())
+        }
+
+        @Test
+        fun `a target that has left gets no lease and no task`() {
+            connectTarget()
+            startRun()
+            val calls = target.leases.size
+            runManager.targetLeft(TargetId("t1"))
+            target.leases.last().answer(LeaseResult.NoAnswer("no connection"))
+            clock.advance(100.milliseconds)
+            runManager.tick()
+            runManager.dispatch(entry, dispatch(job = "00000000000000a2"))
+            assertEquals(calls, target.leases.size)
+            assertEquals(1, target.starts.size)
+        }
+
+        @Test
+        fun `a target that has left without runs is forgotten at once`() {
+            connectTarget()
+            runManager.targetLeft(TargetId("t1"))
+            assertEquals(null, runManager.service)
+        }
+
+        @Test
+        fun `a delayed deregistration of a former life ends no run`() {
+            connectTarget()
+            val run = startRun()
+            runManager.targetAnnounced(targetDescription(life = 2))
+            target.answerLease(running = listOf(run), life = 2)
+            runManager.targetLeft(TargetId("t1"), life = 1)
+            assertEquals(listOf(TaskEvent.STARTED), events())
+            assertTrue(runManager.capacityReport().accepting)
+        }
+
         @Test
         fun `another target at the address takes the place of the former one`() {
             connectTarget()
