A request whose caller has left is no longer handled

Cause: an entry that was paused or behind handled each request as soon as it was read, before it read the end of the connection behind it. Its caller had left and submitted the job again at another entry. Ruled out: overtaken stops, leases, restarted targets (no such lines for these jobs). Change: HttpServer handles a request after the loop has looked for input again (EventLoop.afterPendingInput) and drops it, with a log line, if the connection has ended by then. Why it works: the end of a connection that has arrived is read in that look. Result: the new case of HttpServerTest failed before and passes.

--- a/transport/src/main/kotlin/io/bluebellramp/transport/EventLoop.kt
+++ b/transport/src/main/kotlin/io/bluebellramp/transport/EventLoop.kt
@@ -34,6 +34,12 @@
         loop.schedule({ runLogged(task) }, delay.inWholeMicroseconds, TimeUnit.MICROSECONDS)
     }
 
+    /**
+     * Runs [task] after the loop has looked for input again, so that what had arrived by now is processed before it. A timer that is set while
+     * input is read would run before the next look, hence the two steps.
+     */
+    fun afterPendingInput(task: () -> Unit) = execute { after(Duration.ZERO, task) }
+
     /** Runs [task] on the loop repeatedly, with a pause of [period] between runs, until the loop is closed. */
     fun every(
         period: Duration,
--- a/transport/src/main/kotlin/io/bluebellramp/transport/HttpConnectionPool.kt
+++ b/transport/src/main/kotlin/io/bluebellramp/transport/HttpConnectionPool.kt
@@ -165,8 +165,8 @@
             sentAtNanos = System.nanoTime()
         }
 
-        /** After [time], input that has arrived is processed first: a new timer runs only after the loop has looked for input again. */
-        fun startTimer(time: Duration) = loop.after(time) { if (!isDone) loop.after(Duration.ZERO) { timeOut() } }
+        /** After [time], input that has arrived is processed first. */
+        fun startTimer(time: Duration) = loop.after(time) { if (!isDone) loop.afterPendingInput { timeOut() } }
 
         fun finish(result: HttpResult) {
             if (isDone) return
--- a/transport/src/main/kotlin/io/bluebellramp/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/io/bluebellramp/transport/HttpServer.kt
@@ -39,9 +39,14 @@
     val maxConnections: Int = 2_000,
 )
 
-/** An HTTP/1.1 server on [address] that runs on the event loop. Requests of one connection are handled one after the other. */
+/**
+ * An HTTP/1.1 server on [address] that runs on the event loop. Requests of one connection are handled one after the other.
+ *
+ * A request is handled after the loop has looked for input again. If its caller had closed the connection by then, it is dropped: a process that
+ * was paused or is behind would otherwise work for callers that have gone elsewhere.
+ */
 class HttpServer(
-    private val loop: EventLoop,
+    internal val loop: EventLoop,
     private val address: Address,
     private val limits: () -> HttpLimits,
     private val handler: HttpHandler,
@@ -128,8 +133,10 @@
         if (receivingSinceNanos == null) receivingSinceNanos = System.nanoTime()
     }
 
+    private val isIdle get() = current == null && receivingSinceNanos == null && pendingRequests.isEmpty()
+
     fun closeIfIdle() {
-        if (current == null && receivingSinceNanos == null) channel?.close()
+        if (isIdle) channel?.close()
     }
 
     fun checkTimeouts(
@@ -138,9 +145,9 @@
     ) {
         val receivingSince = receivingSinceNanos
         val isOverdue = receivingSince != null && now - receivingSince > limits.requestTimeout.inWholeNanoseconds
-        val isIdle = current == null && receivingSince == null && now - idleSinceNanos > limits.idleTimeout.inWholeNanoseconds
+        val isIdleTooLong = isIdle && now - idleSinceNanos > limits.idleTimeout.inWholeNanoseconds
         if (isOverdue && current == null) write(HttpResponse(HttpResponseStatus.REQUEST_TIMEOUT.code(), closes = true), keepAlive = false)
-        if (isIdle) channel?.close()
+        if (isIdleTooLong) channel?.close()
     }
 
     override fun channelActive(context: ChannelHandlerContext) {
@@ -158,12 +165,13 @@
             context.close()
             return
         }
-        pendingRequests += PendingRequest(message.createCall(), HttpUtil.isKeepAlive(message))
-        handleNext()
+        pendingRequests += PendingRequest(message.uri(), message.createCall(), HttpUtil.isKeepAlive(message))
+        server.loop.afterPendingInput(::handleNext)
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         server.onConnectionClosed(this)
+        for (request in pendingRequests) Logger.info("Request for ${request.uri} dropped: its caller left before it was handled")
         pendingRequests.clear()
         current?.abandon()
         current = null
@@ -233,6 +241,7 @@
     }
 
     private class PendingRequest(
+        val uri: String,
         val createCall: (HttpExchange) -> HttpCall,
         val keepsAlive: Boolean,
     )
--- a/transport/src/test/kotlin/io/bluebellramp/transport/HttpServerTest.kt
+++ b/transport/src/test/kotlin/io/bluebellramp/transport/HttpServerTest.kt
@@ -72,6 +72,24 @@
             assertTrue(disconnected.await(5, TimeUnit.SECONDS))
         }
 
+        // Guards against a job that runs at two entries because one of them read its submission after the caller had gone to the other.
+        @Test
+        fun `a request whose caller left while the process was paused is not handled`() {
+            val first = connect()
+            first.send("POST /first HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi")
+            nextCall()
+            val paused = CountDownLatch(1)
+            loop.execute { paused.await(5, TimeUnit.SECONDS) }
+            Socket(address.host, address.port).use { it.send("POST /left HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi") }
+            val waiting = Socket(address.host, address.port).apply { soTimeout = 5000 }
+            waiting.send("POST /waits HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi")
+            paused.countDown()
+            assertEquals("/waits", nextCall().path)
+            assertEquals(null, calls.poll(300, TimeUnit.MILLISECONDS)?.path)
+            first.close()
+            waiting.close()
+        }
+
         @Test
         fun `a server at its connection limit does not affect another server in the same process`() {
             val callerAddress = Address("127.0.0.1:${freePort()}")
