A resumed process no longer acts on frames that arrived during its pause

Targets saw: a task starts at an agent that goes on after a pause, beside the run that the entry has placed elsewhere since (the users' record). Cause: pauses were noticed at ticks only. A loop that was not waiting for input when it was stopped reads its sockets before its timers, so the agent started what had arrived during the pause. Ruled out: leases (the start renewed it) and links (closed by the entry, not yet read by the agent). Change: entries and agents check for a pause before each frame and each submission.

--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/AgentNode.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/AgentNode.kt
@@ -103,12 +103,7 @@
     private fun applyState(state: SharedState) = runManager.setZonesOut(state.zonesOut.toSet())
 
     private fun tick() {
-        val pause = pauseDetector.check()
-        if (pause != null) {
-            // The entries may have given this agent up during the pause, so waiting tasks must not start.
-            logDecision(Decision(kind = "paused", reason = "the process was paused for $pause; closing all links to entries"))
-            entries.values.forEach { it.abandon() }
-        }
+        abandonLinksAfterPause()
         val now = clock.monotonic()
         updateEntries(now)
         entries.values.forEach { it.dialer.closeIfSilent(now) }
@@ -116,6 +111,17 @@
         sendHeartbeats(now)
     }
 
+    /**
+     * Closes all links to entries if the process was paused, because the entries may have given this agent up and sent its tasks elsewhere. Returns true
+     * if it was. Called before each frame is processed, since frames that arrived during the pause may be read before the next tick.
+     */
+    private fun abandonLinksAfterPause(): Boolean {
+        val pause = pauseDetector.check() ?: return false
+        logDecision(Decision(kind = "paused", reason = "the process was paused for $pause; closing all links to entries"))
+        entries.values.forEach { it.abandon() }
+        return true
+    }
+
     /** Opens and closes links according to the directories of control. */
     private fun updateEntries(now: Duration) {
         val isDue = rosterUpdatedAt?.let { now - it >= ROSTER_UPDATE_PERIOD } ?: true
@@ -243,6 +249,7 @@
             link: FrameLink,
             text: String,
         ) {
+            if (abandonLinksAfterPause()) return
             val owner = id ?: return
             if (text == EMPTY_FRAME) return
             val frame = WireJson.decodeFromString<DispatchFrame>(text)
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
@@ -75,7 +75,10 @@
     fun submit(
         request: JobRequest,
         caller: Caller,
-    ) = scheduler.submit(request, caller)
+    ) {
+        abandonLinksAfterPause()
+        scheduler.submit(request, caller)
+    }
 
     /** Records that [caller] no longer waits for an answer. */
     fun callerLeft(
@@ -106,13 +109,7 @@
     private fun applyState(state: SharedState) = scheduler.setZonesOut(state.zonesOut.toSet())
 
     private fun tick() {
-        val pause = pauseDetector.check()
-        if (pause != null) {
-            // The agents may have stopped the tasks of this entry during the pause.
-            logDecision(Decision(kind = "paused", reason = "the process was paused for $pause; closing all links to agents"))
-            links.values.toList().forEach { it.close() }
-            return
-        }
+        if (abandonLinksAfterPause()) return
         // The server starts only now, because pauses are detected from the first tick on and no link may be older than that.
         if (!isListening) server.start()
         isListening = true
@@ -122,6 +119,29 @@
         links.values.forEach { if (now - it.lastSentAt >= LinkTiming.HEARTBEAT_PERIOD) it.send(EMPTY_FRAME) }
     }
 
+    /**
+     * Closes all links to agents if the process was paused, because the agents may have stopped the tasks of this entry. Returns true if it was.
+     * Called before each input, since input that arrived during the pause may be read before the next tick.
+     */
+    private fun abandonLinksAfterPause(): Boolean {
+        val pause = pauseDetector.check() ?: return false
+        logDecision(Decision(kind = "paused", reason = "the process was paused for $pause; closing all links to agents"))
+        for (link in links.values.toList()) {
+            removeLink(link)
+            link.close()
+        }
+        return true
+    }
+
+    private fun removeLink(link: FrameLink) {
+        val id = linkIds.remove(link) ?: return
+        links.remove(id)
+        outboxes.remove(id)
+        scheduler.linkDown(id, link.lastReceivedAt)
+        val age = clock.monotonic() - link.lastReceivedAt
+        logDecision(Decision(kind = "agent_lost", reason = "link $id closed; last frame received $age ago"))
+    }
+
     private fun outbox(link: LinkId): DispatchOutbox {
         if (outboxes.isEmpty()) loop.execute(::flush)
         return outboxes.getOrPut(link) { DispatchOutbox() }
@@ -159,6 +179,7 @@
             link: FrameLink,
             text: String,
         ) {
+            if (abandonLinksAfterPause()) return link.close()
             if (text == EMPTY_FRAME) {
                 linkIds[link]?.let { scheduler.capacityConfirmed(it) }
                 return
@@ -171,18 +192,7 @@
             frame.outcomes.forEach { scheduler.report(id, it) }
         }
 
-        override fun onClosed(link: FrameLink) {
-            val id = linkIds.remove(link) ?: return
-            links.remove(id)
-            outboxes.remove(id)
-            scheduler.linkDown(id, link.lastReceivedAt)
-            logDecision(
-                Decision(
-                    kind = "agent_lost",
-                    reason = "link $id closed; last frame received ${clock.monotonic() - link.lastReceivedAt} ago",
-                ),
-            )
-        }
+        override fun onClosed(link: FrameLink) = removeLink(link)
 
         private fun register(
             link: FrameLink,
