--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -118,6 +118,20 @@
         record.add("SIGNAL " + signal + " to the " + role + " of " + host);
     }
 
+    /** The disk of the control process at {@code host}. */
+    Path dataFolder(String host) {
+        return folder.resolve("data-" + host);
+    }
+
+    /** Empties the disk of the control process at {@code host}, which does not run. */
+    void loseDisk(String host) throws IOException {
+        try (Stream<Path> files = Files.walk(dataFolder(host))) {
+            files.map(Path::toFile).sorted((a, b) -> b.getPath().compareTo(a.getPath())).filter(it -> !it.toPath().equals(dataFolder(host)))
+                .forEach(File::delete);
+        }
+        record.add("EMPTY  the disk of " + host);
+    }
+
     Process process(String role, String host) {
         return processes.get(role + "-" + host);
     }
