--- a/review/standins-2/InterruptedCatchUp.java
+++ b/review/standins-2/InterruptedCatchUp.java
@@ -9,8 +9,8 @@
  * its disk, which is to be borne. Does the newest acknowledged configuration come back?
  */
 final class InterruptedCatchUp extends ReviewCase {
-    private static final int MISSED_READS = 190;
-    private static final int MAX_TRIES = 5;
+    private static final int FEWEST_MISSED_READS = 190;
+    private static final int MAX_TRIES = 6;
     private static final int READ_BACK_SECONDS = 25;
 
     private int version = 7;
@@ -28,11 +28,10 @@
             for (int attempt = 0; attempt < MAX_TRIES && !isInterrupted; attempt++) {
                 int leader = leader(deployment);
                 String follower = deployment.fronts.get((leader + 1) % 3);
-                isInterrupted = catchUp(deployment, deployment.fronts.get(leader), follower);
+                isInterrupted = catchUp(deployment, deployment.fronts.get(leader), follower, FEWEST_MISSED_READS + 13 * attempt);
                 if (!hasTrouble) break;
             }
             if (hasTrouble && !isInterrupted) throw new IOException("the process was never killed between the two files");
-            Thread.sleep(2500);
             for (int i = 0; i < 3; i++) replace(deployment);
             Thread.sleep(1000);
             int acknowledged = version;
@@ -51,15 +50,15 @@
 
     /**
      * Keeps {@code follower} down while the log moves on, and starts it again. With trouble, it is killed when it has stored the snapshot of the
-     * leader. Returns whether its log had not been replaced by then.
+     * leader. Returns whether its log had not been replaced by then, and was not by a snapshot of its own after it had come back.
      */
-    private boolean catchUp(Deployment deployment, String leader, String follower) throws Exception {
+    private boolean catchUp(Deployment deployment, String leader, String follower, int reads) throws Exception {
         deployment.signal("control", follower, "KILL");
         deployment.process("control", follower).waitFor();
         long start = System.nanoTime();
-        for (int i = 0; i < MISSED_READS; i++) read(leader);
+        for (int i = 0; i < reads; i++) read(leader);
         replace(deployment);
-        record.add("READS  " + MISSED_READS + " reads and one change in " + (System.nanoTime() - start) / 1_000_000 + " ms");
+        record.add("READS  " + reads + " reads and one change in " + (System.nanoTime() - start) / 1_000_000 + " ms");
         Path folder = deployment.dataFolder(follower).resolve("log");
         Object snapshot = key(folder.resolve("snapshot"));
         Object log = key(folder.resolve("log"));
@@ -75,8 +74,10 @@
             record.add("KILLED the control of " + follower + (isBetween ? " between the two files" : " too late"));
             Thread.sleep(500);
             deployment.restart("control", follower);
-            if (!isBetween) Thread.sleep(3000);
-            return isBetween;
+            Thread.sleep(3000);
+            if (!isBetween || key(folder.resolve("log")).equals(log)) return isBetween;
+            record.add("its log was replaced since");
+            return false;
         }
         record.add("the follower stored no snapshot");
         return false;
