--- a/replication/src/main/kotlin/io/bluebellramp/replication/FileLogStorage.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/FileLogStorage.kt
@@ -6,35 +6,28 @@
 import kotlinx.serialization.SerializationException
 import java.io.IOException
 import java.nio.ByteBuffer
-import java.nio.channels.FileChannel
-import java.nio.channels.OverlappingFileLockException
-import java.nio.file.Files
-import java.nio.file.Path
-import java.nio.file.StandardOpenOption.CREATE
-import java.nio.file.StandardOpenOption.READ
-import java.nio.file.StandardOpenOption.WRITE
 
 /**
- * Stores the state of a member in the files `vote`, `snapshot` and `log` of [folder]. A file lock on `lock` keeps other processes out.
+ * Stores the state of a member in the files `vote`, `snapshot` and `log` of [folder].
+ *
+ * A process may be killed between any two operations on the files. [open] therefore leaves files that say what it
+ * returns: the log that it finds may not belong to the snapshot.
  *
  * @property onSync called after each write of records with the time that the write and its sync took (ns)
  */
 internal class FileLogStorage(
-    private val folder: Path,
+    private val folder: DataFolder,
+    private val path: String,
     private val onSync: (Long) -> Unit = {},
 ) : LogStorage {
-    private val files = SyncedFiles(folder)
-    private val logFile = folder.resolve(LOG_FILE)
-    private var lockChannel: FileChannel? = null
-    private var logChannel: FileChannel? = null
+    private var logFile: DataFile? = null
     private var failure: StorageError? = null
 
     override fun open(member: MemberId): StorageOpenResult =
         try {
-            if (!Files.exists(folder)) createFolder()
-            if (acquireLock()) read(member) else refuse(StorageError.Locked(folder.toString()))
+            if (folder.lock()) read(member) else refuse(StorageError.Locked(path))
         } catch (e: IOException) {
-            refuse(StorageError.Failed("cannot open data folder $folder: $e"))
+            refuse(StorageError.Failed("cannot open data folder $path: $e"))
         }
 
     override fun persist(writes: List<StorageWrite>): StorageError? {
@@ -42,29 +35,14 @@
         try {
             for (write in mergeWrites(writes)) persist(write)
         } catch (e: IOException) {
-            failure = StorageError.Failed("cannot write to data folder $folder: $e")
+            failure = StorageError.Failed("cannot write to data folder $path: $e")
         }
         return failure
     }
 
     override fun close() {
-        logChannel?.close()
-        lockChannel?.close()
-    }
-
-    private fun createFolder() {
-        Files.createDirectories(folder)
-        folder.toAbsolutePath().parent?.let { SyncedFiles(it).syncFolder() }
-    }
-
-    private fun acquireLock(): Boolean {
-        val channel = FileChannel.open(folder.resolve(LOCK_FILE), CREATE, WRITE)
-        lockChannel = channel
-        return try {
-            channel.tryLock() != null
-        } catch (_: OverlappingFileLockException) {
-            false
-        }
+        logFile?.close()
+        folder.close()
     }
 
     private fun refuse(error: StorageError): StorageOpenResult {
@@ -76,48 +54,37 @@
         try {
             val vote = readFrame(VOTE_FILE)?.let { WireJson.decodeFromString<VoteState>(it) }
             val snapshot = readFrame(SNAPSHOT_FILE)?.let { WireJson.decodeFromString<StoredSnapshot>(it) }
-            val records = readLog(snapshot)
+            val records = openLog()
             when {
                 vote == null && (snapshot != null || records.isNotEmpty()) -> throw CorruptionException(VOTE_FILE, 0, "the file is missing")
-                vote != null && vote.member != member -> refuse(StorageError.OtherMember(folder.toString(), vote.member))
-                else -> StorageOpenResult.Opened(StoredState(vote, snapshot, records))
+                vote != null && vote.member != member -> refuse(StorageError.OtherMember(path, vote.member))
+                else -> StorageOpenResult.Opened(StoredState(vote, snapshot, reconcileLog(snapshot, records)))
             }
         } catch (e: CorruptionException) {
-            refuse(StorageError.Corrupt(folder.resolve(e.file).toString(), e.offset, e.reason))
+            refuse(StorageError.Corrupt("$path/${e.file}", e.offset, e.reason))
         }
 
     private fun readFrame(name: String): String? {
-        val file = folder.resolve(name)
-        if (!Files.exists(file)) return null
-        val scan = Frames.scan(Files.readAllBytes(file))
-        return scan.bodies.singleOrNull()?.decodeToString()
-            ?: throw CorruptionException(name, scan.endOffset.toLong(), "the file must hold exactly one valid frame")
+        if (!folder.exists(name)) return null
+        val bodies = ArrayList<String>()
+        val scan = folder.open(name).use { file -> Frames.scan(file) { body, _ -> bodies += body.decodeToString() } }
+        return bodies.singleOrNull() ?: throw CorruptionException(name, scan.endOffset, "the file must hold exactly one valid frame")
     }
 
-    private fun readLog(snapshot: StoredSnapshot?): List<LogRecord> {
-        val content = if (Files.exists(logFile)) Files.readAllBytes(logFile) else ByteArray(0)
-        val scan = Frames.scan(content)
-        scan.corruptOffset?.let { throw CorruptionException(LOG_FILE, it.toLong(), "bad checksum before the last frame") }
-        openLog(scan.endOffset.toLong())
-        var offset = 0L
+    /** Opens the log, removes a torn write at its end, and returns its records. */
+    private fun openLog(): List<LogRecord> {
+        val isNew = !folder.exists(LOG_FILE)
+        val file = folder.open(LOG_FILE)
+        logFile = file
+        if (isNew) folder.syncNames()
         val records = ArrayList<LogRecord>()
-        for (body in scan.bodies) {
-            addFrame(records, decode(body, offset), offset)
-            offset += Frames.HEADER_BYTES + body.size
+        val scan = Frames.scan(file) { body, offset -> addFrame(records, decode(body, offset), offset) }
+        scan.corruptOffset?.let { throw CorruptionException(LOG_FILE, it, "bad checksum before the last frame") }
+        if (file.size > scan.endOffset) {
+            file.truncate(scan.endOffset)
+            file.sync()
         }
-        return recordsAfter(snapshot, records)
-    }
-
-    private fun openLog(endOffset: Long) {
-        val isNew = !Files.exists(logFile)
-        val channel = FileChannel.open(logFile, CREATE, READ, WRITE)
-        logChannel = channel
-        if (channel.size() > endOffset) {
-            channel.truncate(endOffset)
-            channel.force(true)
-        }
-        channel.position(endOffset)
-        if (isNew) files.syncFolder()
+        return records
     }
 
     private fun decode(
@@ -145,9 +112,23 @@
     }
 
     /**
-     * Returns the records after [snapshot]. A crash after the snapshot was replaced, but before the log was, leaves records in
-     * the log that the snapshot covers or contradicts.
+     * Returns the records of the log after [snapshot], and empties the log if there are none: the next record must not follow others.
+     *
+     * A crash after the snapshot was replaced, but before the log was, leaves records in the log that the snapshot covers or contradicts. If the log
+     * agrees with the snapshot and goes on after it, the next record follows the last one of the log.
      */
+    private fun reconcileLog(
+        snapshot: StoredSnapshot?,
+        records: List<LogRecord>,
+    ): List<LogRecord> {
+        val following = recordsAfter(snapshot, records)
+        if (following.isEmpty() && records.isNotEmpty()) {
+            logFile?.truncate(0)
+            logFile?.sync()
+        }
+        return following
+    }
+
     private fun recordsAfter(
         snapshot: StoredSnapshot?,
         records: List<LogRecord>,
@@ -184,26 +165,48 @@
 
     private fun persist(write: StorageWrite) {
         when (write) {
-            is StorageWrite.Vote -> files.replace(VOTE_FILE, encodeFrame(WireJson.encodeToString(write.state)))
-            is StorageWrite.Append -> append(write.records)
-            is StorageWrite.Snapshot -> replaceLog(write)
+            is StorageWrite.Vote -> {
+                replace(VOTE_FILE, encodeFrame(WireJson.encodeToString(write.state)))
+            }
+
+            is StorageWrite.Append -> {
+                append(write.records)
+            }
+
+            is StorageWrite.Snapshot -> {
+                replace(SNAPSHOT_FILE, encodeFrame(WireJson.encodeToString(write.snapshot)))
+                replaceLog(write.remaining)
+            }
         }
     }
 
     private fun append(records: List<LogRecord>) {
-        val channel = checkNotNull(logChannel) { "the storage is not open" }
+        val file = checkNotNull(logFile) { "the storage is not open" }
         val startedNanos = System.nanoTime()
-        SyncedFiles.writeAll(channel, encodeFrame(WireJson.encodeToString(records)))
-        channel.force(false)
+        file.append(encodeFrame(WireJson.encodeToString(records)))
+        file.sync()
         onSync(System.nanoTime() - startedNanos)
     }
 
-    private fun replaceLog(write: StorageWrite.Snapshot) {
-        files.replace(SNAPSHOT_FILE, encodeFrame(WireJson.encodeToString(write.snapshot)))
-        logChannel?.close()
-        val content = if (write.remaining.isEmpty()) ByteBuffer.allocate(0) else encodeFrame(WireJson.encodeToString(write.remaining))
-        files.replace(LOG_FILE, content)
-        openLog(Files.size(logFile))
+    private fun replaceLog(records: List<LogRecord>) {
+        logFile?.close()
+        replace(LOG_FILE, if (records.isEmpty()) ByteBuffer.allocate(0) else encodeFrame(WireJson.encodeToString(records)))
+        logFile = folder.open(LOG_FILE)
+    }
+
+    /** Atomically replaces the file [name] by one with [content]. */
+    private fun replace(
+        name: String,
+        content: ByteBuffer,
+    ) {
+        val temporaryName = "$name.tmp"
+        folder.open(temporaryName).use { file ->
+            file.truncate(0)
+            file.append(content)
+            file.sync()
+        }
+        folder.rename(temporaryName, name)
+        folder.syncNames()
     }
 
     private fun encodeFrame(text: String) = Frames.encode(text.encodeToByteArray())
@@ -218,6 +221,5 @@
         const val VOTE_FILE = "vote"
         const val SNAPSHOT_FILE = "snapshot"
         const val LOG_FILE = "log"
-        const val LOCK_FILE = "lock"
     }
 }
--- a/replication/src/main/kotlin/io/bluebellramp/replication/LogMember.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/LogMember.kt
@@ -61,7 +61,7 @@
         clock: Clock,
         settings: LogSettings = LogSettings(),
         listener: LogListener = object : LogListener {},
-    ) : this(self, foundingMembers, joining, FileLogStorage(folder, listener::onSync), stateMachine, transport, clock, settings, listener)
+    ) : this(self, foundingMembers, joining, fileStorage(folder, listener), stateMachine, transport, clock, settings, listener)
 
     private val diskDispatcher =
         Executors
@@ -280,3 +280,8 @@
         val EMPTY_MEMBERSHIP = Membership(0, emptyList(), emptyList(), emptyList())
     }
 }
+
+private fun fileStorage(
+    folder: Path,
+    listener: LogListener,
+) = FileLogStorage(NioDataFolder(folder), folder.toString(), listener::onSync)
--- a/replication/src/test/kotlin/io/bluebellramp/replication/FileLogStorageTest.kt
+++ b/replication/src/test/kotlin/io/bluebellramp/replication/FileLogStorageTest.kt
@@ -37,15 +37,21 @@
     private fun snapshot(index: Long) = StoredSnapshot(index, 1, Membership(1, listOf(address("a")), emptyList(), emptyList()), "state")
 
     private fun write(vararg writes: StorageWrite) {
-        FileLogStorage(root).use { storage ->
+        FileLogStorage(NioDataFolder(root), root.toString()).use { storage ->
             assertIs<StorageOpenResult.Opened>(storage.open(member))
             writes.forEach { assertNull(storage.persist(listOf(it))) }
         }
     }
 
-    private fun read(): StoredState = FileLogStorage(root).use { assertIs<StorageOpenResult.Opened>(it.open(member)).state }
+    private fun read(): StoredState =
+        FileLogStorage(NioDataFolder(root), root.toString()).use {
+            assertIs<StorageOpenResult.Opened>(it.open(member)).state
+        }
 
-    private fun openError(): StorageError = FileLogStorage(root).use { assertIs<StorageOpenResult.Refused>(it.open(member)).error }
+    private fun openError(): StorageError =
+        FileLogStorage(NioDataFolder(root), root.toString()).use {
+            assertIs<StorageOpenResult.Refused>(it.open(member)).error
+        }
 
     @Nested
     inner class `a storage that is opened again` {
@@ -76,6 +82,17 @@
             log.writeBytes(logBeforeSnapshot)
             assertEquals(records(5L..5), read().records)
         }
+
+        /** Guards against a member that takes its log for corrupt because it was killed between storing a snapshot and replacing the log. */
+        @Test
+        fun `keeps the records that it appended after such a crash`() {
+            write(StorageWrite.Vote(vote), StorageWrite.Append(records(1L..5)))
+            val logBeforeSnapshot = log.readBytes()
+            write(StorageWrite.Snapshot(snapshot(9), emptyList()))
+            log.writeBytes(logBeforeSnapshot)
+            write(StorageWrite.Append(records(10L..11)))
+            assertEquals(StoredState(vote, snapshot(9), records(10L..11)), read())
+        }
     }
 
     @Nested
--- a/replication/src/test/kotlin/io/bluebellramp/replication/SimulatedDisk.kt
+++ b/replication/src/test/kotlin/io/bluebellramp/replication/SimulatedDisk.kt
@@ -4,8 +4,10 @@
 import kotlin.random.Random
 
 /** A disk in memory that keeps what is synced. A crash keeps a random number of the first unsynced writes and loses the others. */
-internal class SimulatedDisk {
-    var state = StoredState(null, null, emptyList())
+internal class SimulatedDisk(
+    initial: StoredState = StoredState(null, null, emptyList()),
+) {
+    var state = initial
         private set
     private var unsyncedWrites = emptyList<StorageWrite>()
 
