A member that discards its log takes a new identity first

Cause: a damaged log was discarded by moving the data folder, or by deleting its files one by one where the folder of an earlier time was in the way. A process that was killed in between could come back as a founder without its log, under the id that had voted, or with an identity whose log it refused for good. Ruled out: removing the identity last, since then a member without its log has its former id for a moment. Change: LogSupervisor stores the new identity, then renames the log to log-aside. A log of another member is set aside, too. The test of the damaged identity now looks for the kept log where it is; it asks the same of it. Conclusion: no moment of the discarding leaves the old identity without its log.

--- a/control/src/main/kotlin/io/bluebellramp/control/node/LogSupervisor.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/LogSupervisor.kt
@@ -41,14 +41,11 @@
 internal class LogSupervisor(
     private val folder: Path,
     private val self: Address,
-    isFounding: Boolean,
+    private val isFounding: Boolean,
     private val transport: LogTransport,
     private val clock: Clock,
     private val onState: (SharedState) -> Unit,
 ) : AutoCloseable {
-    /** False once the folder was moved aside: a founder that lost its log must not take part under its old id. */
-    @Volatile
-    private var mayFound = isFounding
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val failures = Channel<StorageError>(Channel.CONFLATED)
 
@@ -119,7 +116,7 @@
         val removed = running ?: return
         running = null
         removed.second.close()
-        moveFolderAside("removed by the other members")
+        discardLog("removed by the other members")
         failures.trySend(StorageError.Failed("removed by the other members"))
     }
 
@@ -131,12 +128,12 @@
     private suspend fun openMember(founders: List<Address>): LogMember? {
         val identity =
             try {
-                MemberIdentity.loadOrCreate(folder, self, founders, mayFound)
+                MemberIdentity.loadOrCreate(folder, self, founders, isFounding)
             } catch (e: IOException) {
                 Logger.error("Cannot open the data folder; retrying: $e")
                 return null
             } catch (e: SerializationException) {
-                moveFolderAside("the identity of the member cannot be read: ${e.message}")
+                discardLog("the identity of the member cannot be read: ${e.message}")
                 return null
             }
         val machine = CatalogStateMachine()
@@ -173,17 +170,24 @@
 
     private fun handleRefusedStart(error: StorageError) {
         Logger.error("Cannot open the replicated log: ${error.message}")
-        if (error is StorageError.Corrupt) moveFolderAside(error.message)
+        // The log of another member was left by a process that was killed while it discarded its log.
+        if (error is StorageError.Corrupt || error is StorageError.OtherMember) discardLog(error.message)
     }
 
-    private fun moveFolderAside(reason: String) {
-        mayFound = false
-        Logger.error("Moving the data folder aside and joining as a new member: $reason")
+    /**
+     * Sets the log aside after the member got a new identity. In this order a process that is killed in between never leaves the old identity
+     * without its log, under which the member would vote again and found a second cluster.
+     */
+    private fun discardLog(reason: String) {
+        Logger.error("Setting the log aside and joining as a new member: $reason")
+        val log = folder.resolve(LOG_FOLDER_NAME)
+        val aside = folder.resolve(ASIDE_FOLDER_NAME)
         try {
-            Files.move(folder, folder.resolveSibling("${folder.fileName}-aside"), StandardCopyOption.REPLACE_EXISTING)
+            aside.toFile().deleteRecursively()
+            MemberIdentity.renew(folder, self)
+            if (Files.exists(log)) Files.move(log, aside, StandardCopyOption.ATOMIC_MOVE)
         } catch (e: IOException) {
-            Logger.warn("Cannot move the data folder aside; deleting its files instead: $e")
-            folder.toFile().listFiles()?.forEach { it.deleteRecursively() }
+            Logger.error("Cannot set the log aside; retrying: $e")
         }
     }
 
@@ -205,6 +209,9 @@
     private companion object {
         const val LOG_FOLDER_NAME = "log"
 
+        /** The last log that was discarded, for a later look at it. */
+        const val ASIDE_FOLDER_NAME = "log-aside"
+
         /** A member shares its CPU core with an entry and may stall for several hundred milliseconds. */
         const val ELECTION_MILLIS = 700L
         const val HEARTBEAT_MILLIS = 150L
--- a/control/src/main/kotlin/io/bluebellramp/control/node/MemberIdentity.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/MemberIdentity.kt
@@ -47,15 +47,23 @@
                 if (isFounding && self in seeds) {
                     MemberIdentity(founderId(self), seeds.map { MemberAddress(founderId(it), it) })
                 } else {
-                    MemberIdentity(MemberId("${founderId(self)}-${IncarnationId.create()}"), emptyList())
+                    joining(self)
                 }
             store(folder, file, WireJson.encodeToString(created))
             return created
         }
 
+        /** Replaces the identity in [folder] by that of a member that joins later. */
+        fun renew(
+            folder: Path,
+            self: Address,
+        ) = store(folder, folder.resolve(FILE_NAME), WireJson.encodeToString(joining(self)))
+
         /** Returns whether [folder] holds an identity. */
         fun existsIn(folder: Path): Boolean = Files.exists(folder.resolve(FILE_NAME))
 
+        private fun joining(self: Address) = MemberIdentity(MemberId("${founderId(self)}-${IncarnationId.create()}"), emptyList())
+
         /** Derives the id from the address, so that founders know each other's ids from the seeds alone. */
         private fun founderId(address: Address) = MemberId("c-${address.host}")
 
--- a/control/src/test/kotlin/io/bluebellramp/control/node/LogSupervisorTest.kt
+++ b/control/src/test/kotlin/io/bluebellramp/control/node/LogSupervisorTest.kt
@@ -113,7 +113,39 @@
         val again = supervisor()
         eventually("it asks to join") { again.isJoining }
         assertNotEquals(MemberId("c-127.0.0.1"), again.identity?.member)
-        assertTrue(Files.exists(folder.resolveSibling("data-aside")), "the old folder is kept")
+        assertTrue(Files.exists(folder.resolve("log-aside/log")), "the old log is kept")
+    }
+
+    /** Guards against a member that never opens its log again, or founds a second cluster, after it was killed while it discarded its log. */
+    @Test
+    fun `a founder that was killed before it had set its log aside joins under a new id with an empty state`() {
+        val first = supervisor()
+        eventually("it leads") { first.leads() }
+        first.takeZoneOut("z1")
+        first.close()
+        MemberIdentity.renew(folder, self)
+        val again = supervisor()
+        eventually("it asks to join") { again.isJoining }
+        assertNotEquals(MemberId("c-127.0.0.1"), again.identity?.member)
+        assertEquals(emptyList(), again.state()?.zonesOut)
+    }
+
+    /** Guards against a second discarded log that takes its files away one by one. */
+    @Test
+    fun `a log that is damaged again is set aside as a whole, and the new identity lasts`() {
+        val damagedMembers = HashSet<MemberId>()
+        repeat(3) {
+            val supervisor = supervisor()
+            eventually("it has a log") { supervisor.identity != null && Files.exists(folder.resolve("log/vote")) }
+            damagedMembers += checkNotNull(supervisor.identity).member
+            supervisor.close()
+            Files.writeString(folder.resolve("log/vote"), "damaged")
+        }
+        val last = supervisor()
+        eventually("it asks to join") { last.isJoining }
+        assertEquals(3, damagedMembers.size)
+        assertTrue(checkNotNull(last.identity).member !in damagedMembers)
+        assertEquals("damaged", Files.readString(folder.resolve("log-aside/vote")))
     }
 
     @Test
