--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/Run.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/Run.kt
@@ -35,6 +35,9 @@
     var number = 0
     var orderedAt = Duration.ZERO
 
+    /** The life of the target that was current when the order to start was sent, or null. */
+    var orderedAtLife: Long? = null
+
     /** When the target was first known to have started the run, or null. */
     var confirmedAt: Duration? = null
 
@@ -91,7 +94,14 @@
         ran: Duration = Duration.ZERO,
     ) = TaskReport(task.job, task.step, task.index, dispatch.attempt, event, reason, ran.inWholeMilliseconds)
 
-    /** The event to report if the run is over but the target did not list its end. */
-    val eventIfUnlisted: TaskEvent
-        get() = if (isKnownStarted || state != RunState.STOPPING) TaskEvent.STOPPED else TaskEvent.NOT_STARTED
+    /**
+     * Returns the event to report if the run is over and a list of the target's life [listedBy], null if unknown, did not name its end. The list
+     * proves that the run never started only if the order to start can have reached no other life, and if an order to stop keeps it from starting
+     * later.
+     */
+    fun eventIfUnlisted(listedBy: Long?): TaskEvent {
+        val isSameLife = listedBy != null && listedBy == orderedAtLife
+        val isNeverStarted = !isKnownStarted && state == RunState.STOPPING && isSameLife
+        return if (isNeverStarted) TaskEvent.NOT_STARTED else TaskEvent.STOPPED
+    }
 }
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/RunManager.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/RunManager.kt
@@ -315,6 +315,7 @@
         run.number = runNumbers.next(run.task, run.dispatch.attempt)
         run.state = RunState.STARTING
         run.orderedAt = now
+        run.orderedAtLife = current.life
         targetLease.granted(now)
         target.start(current.id, StartOrder(run.key, run.dispatch.spec, until, fence)) { onStartResult(run, it) }
     }
@@ -448,7 +449,7 @@
             val run = runs[end.run.task]?.takeIf { it.usesCapacity && it.number == end.run.number } ?: continue
             onRunEnded(run, end.end, now)
         }
-        reconcile(result.running, sentAt, now, isNewLife)
+        reconcile(result, sentAt, now, isNewLife)
     }
 
     private fun onRunEnded(
@@ -480,17 +481,19 @@
 
     /** Reconciles the runs listed by the target with those that should be running. */
     private fun reconcile(
-        running: Map<RunKey, Int>,
+        list: LeaseResult.RunList,
         sentAt: Duration,
         now: Duration,
         isNewLife: Boolean,
     ) {
+        val running = list.running
         orphanedRuns.clear()
         for ((key, percent) in running) {
             runNumbers.observe(key)
             val run = runs[key.task]?.takeIf { it.usesCapacity && it.number == key.number }
             if (run != null) checkProgress(run, percent, now) else stopOrphanedRun(key)
         }
+        if (!list.isComplete) return
         for (run in runs.values.toList()) {
             val lastAnswerAt = run.lastAnswerAt ?: continue
             if (run.key in running || lastAnswerAt >= sentAt) continue
@@ -501,7 +504,7 @@
                 }
 
                 RunState.STOPPING -> {
-                    finish(run, run.eventIfUnlisted, run.stopReason)
+                    finish(run, run.eventIfUnlisted(listedBy = list.life), run.stopReason)
                 }
 
                 // The run was at the former life if this is the first list of a new one: its order to start had been answered before.
@@ -537,9 +540,9 @@
         target.stop(current.id, key, fence) { }
     }
 
-    /** Ends all runs because the target is unreachable and every lease has expired. */
+    /** Ends all runs because the target is unreachable and every lease has expired. Without a list nothing proves that one never started. */
     private fun endExpiredRuns() {
-        runs.values.filter { it.usesCapacity }.forEach { finish(it, it.eventIfUnlisted, "its lease ran out unseen") }
+        runs.values.filter { it.usesCapacity }.forEach { finish(it, TaskEvent.STOPPED, "its lease ran out unseen") }
     }
 
     private fun finish(
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/TargetPort.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/TargetPort.kt
@@ -94,12 +94,14 @@
      * @property clock the monotonic clock of the target when it answered
      * @property running the current runs with their progress (0 to 100)
      * @property ended the ends that were not acknowledged yet, oldest first
+     * @property isComplete false if there may be later ends that did not fit into the answer
      */
     data class RunList(
         val life: Long?,
         val clock: Duration,
         val running: Map<RunKey, Int>,
         val ended: List<ListedEnd>,
+        val isComplete: Boolean = true,
     ) : LeaseResult
 
     /** Another target is at this address now. */
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/history/SimTarget.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/history/SimTarget.kt
@@ -1,5 +1,6 @@
 package io.bluebellramp.jobs.history
 
+import io.bluebellramp.core.JobId
 import io.bluebellramp.core.TargetId
 import io.bluebellramp.jobs.LeaseResult
 import io.bluebellramp.jobs.ListedEnd
@@ -32,6 +33,9 @@
     var sequence = 0L
         private set
     val running = LinkedHashMap<TaskKey, Running>()
+
+    /** Jobs of which a task has started in any life. */
+    val startedJobs = HashSet<JobId>()
     private val ended = ArrayList<ListedEnd>()
     private val highestSeenNumbers = HashMap<TaskKey, Int>()
     private var lastEndNumber = 0L
@@ -77,6 +81,7 @@
         if (order.leaseUntil <= clock) return StartResult.Refused(StartRefusal.LATE)
         leaseUntil = maxOf(leaseUntil, order.leaseUntil)
         checkInvariants(order, milliCpu)
+        startedJobs += order.run.task.job
         running[order.run.task] = Running(order.run, milliCpu, sim.monotonic() + runTime, sim.monotonic())
         return StartResult.Started
     }
