--- a/control/src/main/kotlin/io/bluebellramp/control/Main.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/Main.kt
@@ -11,6 +11,7 @@
 import io.bluebellramp.replication.LogStatus
 import io.bluebellramp.replication.StorageError
 import io.bluebellramp.runtime.Decision
+import io.bluebellramp.runtime.ExitCode
 import io.bluebellramp.runtime.RunningProgram
 import io.bluebellramp.runtime.SettingsReader
 import io.bluebellramp.runtime.SharedKey
@@ -21,8 +22,10 @@
 import kotlinx.coroutines.runBlocking
 import org.tinylog.kotlin.Logger
 import java.nio.file.Path
+import kotlin.concurrent.thread
 import kotlin.io.path.listDirectoryEntries
 import kotlin.io.path.notExists
+import kotlin.system.exitProcess
 import kotlin.time.Duration.Companion.milliseconds
 
 private const val PROGRAM_NAME = "bluebellramp-control"
@@ -96,8 +99,22 @@
         logDecision(Decision(kind = "election", reason = "term ${status.term}: ${status.role.name.lowercase()}, leader $leader"))
     }
 
-    override fun onStorageFailure(error: StorageError) =
+    override fun onStorageFailure(error: StorageError) {
         Logger.error("The replicated log of member $member has stopped after a storage failure: $error")
+        endProcess()
+    }
+
+    override fun onError(cause: Throwable) {
+        Logger.error(cause, "The replicated log of member $member has stopped after an error")
+        endProcess()
+    }
+
+    override fun onFailedSend(cause: Exception) = Logger.error(cause, "A message of the replicated log could not be sent")
+
+    /** Without its log the process would go on and do nothing. A restart reads what is on the disk. */
+    private fun endProcess() {
+        thread(name = "end") { exitProcess(ExitCode.FAILED) }
+    }
 
     private companion object {
         const val NANOS_PER_SECOND = 1e9
--- a/control/src/main/kotlin/io/bluebellramp/control/node/LogSupervisor.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/LogSupervisor.kt
@@ -15,6 +15,7 @@
 import io.bluebellramp.replication.StorageError
 import io.bluebellramp.runtime.Decision
 import io.bluebellramp.runtime.logDecision
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
@@ -47,7 +48,7 @@
     private val onState: (SharedState) -> Unit,
 ) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val failures = Channel<StorageError>(Channel.CONFLATED)
+    private val failures = Channel<Unit>(Channel.CONFLATED)
 
     @Volatile
     private var running: Pair<MemberIdentity, LogMember>? = null
@@ -85,17 +86,26 @@
     fun start(founders: List<Address>) {
         scope.launch {
             while (isActive) {
-                val openLog = openMember(founders)
-                if (openLog != null) {
-                    failures.receive()
-                    openLog.close()
-                    running = null
+                try {
+                    runMember(founders)
+                } catch (e: CancellationException) {
+                    throw e
+                } catch (e: Throwable) {
+                    Logger.error(e, "The replicated log cannot be opened or run; retrying")
                 }
                 delay(RESTART_DELAY)
             }
         }
     }
 
+    /** Runs the member until it fails. Returns at once if its disk is unusable. */
+    private suspend fun runMember(founders: List<Address>) {
+        val openLog = openMember(founders) ?: return
+        failures.receive()
+        running = null
+        openLog.close()
+    }
+
     /** Answers a message from another member; the reply is empty if the message is meant for a different member. */
     suspend fun answer(call: MemberCall): MemberReply {
         val (identity, log) = running ?: return MemberReply(call.id)
@@ -117,7 +127,7 @@
         running = null
         removed.second.close()
         discardLog("removed by the other members")
-        failures.trySend(StorageError.Failed("removed by the other members"))
+        failures.trySend(Unit)
     }
 
     override fun close() {
@@ -202,8 +212,15 @@
 
         override fun onStorageFailure(error: StorageError) {
             Logger.error("The replicated log of member ${identity.member} has stopped after a storage failure: ${error.message}")
-            failures.trySend(error)
+            failures.trySend(Unit)
         }
+
+        override fun onError(cause: Throwable) {
+            Logger.error(cause, "The replicated log of member ${identity.member} has stopped after an error")
+            failures.trySend(Unit)
+        }
+
+        override fun onFailedSend(cause: Exception) = Logger.error(cause, "A message of the replicated log could not be sent")
     }
 
     private companion object {
--- a/control/src/test/kotlin/io/bluebellramp/control/node/LogSupervisorTest.kt
+++ b/control/src/test/kotlin/io/bluebellramp/control/node/LogSupervisorTest.kt
@@ -12,8 +12,11 @@
 import io.bluebellramp.messages.SnapshotResponse
 import io.bluebellramp.messages.VoteRequest
 import io.bluebellramp.messages.VoteResponse
+import io.bluebellramp.replication.LogMember
+import io.bluebellramp.replication.LogSettings
 import io.bluebellramp.replication.LogTransport
 import io.bluebellramp.replication.ProposalResult
+import io.bluebellramp.replication.StateMachine
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.io.TempDir
@@ -148,6 +151,43 @@
         assertEquals("damaged", Files.readString(folder.resolve("log-aside/vote")))
     }
 
+    /** Guards against a process that goes on without its log after an error that is none of the disk. */
+    @Test
+    fun `an error while the log is opened is retried until it can be opened`() {
+        val identity = MemberIdentity.loadOrCreate(folder, self, listOf(self), isFounding = true)
+        storeUnreadableState(identity.member)
+        val supervisor = supervisor()
+        TimeUnit.MILLISECONDS.sleep(1000)
+        assertNull(supervisor.member)
+        folder.resolve("log").toFile().deleteRecursively()
+        eventually("it leads") { supervisor.leads() }
+    }
+
+    /** Stores a snapshot that [CatalogStateMachine] can't restore. */
+    private fun storeUnreadableState(id: MemberId) =
+        runBlocking {
+            val machine =
+                object : StateMachine {
+                    override fun apply(
+                        index: Long,
+                        command: String,
+                    ) = ""
+
+                    override fun snapshot() = "unreadable"
+
+                    override fun restore(snapshot: String) = Unit
+                }
+            val member = MemberAddress(id, self)
+            val settings = LogSettings(electionMillis = 100, heartbeatMillis = 20, snapshotRecords = 1)
+            val log = LogMember(member, listOf(member), false, folder.resolve("log"), machine, UnreachableMembers, SystemClock, settings)
+            log.start()
+            eventually("a snapshot") {
+                runBlocking { log.propose("{}") }
+                Files.exists(folder.resolve("log/snapshot"))
+            }
+            log.close()
+        }
+
     @Test
     fun `an unusable disk is retried until it is usable`() {
         Files.writeString(folder, "a file where the folder should be")
--- a/replication/src/main/kotlin/io/bluebellramp/replication/FileLogStorage.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/FileLogStorage.kt
@@ -54,8 +54,8 @@
         try {
             // An earlier process may have renamed a file and been killed before the new name was durable.
             folder.syncNames()
-            val vote = readFrame(VOTE_FILE)?.let { WireJson.decodeFromString<VoteState>(it) }
-            val snapshot = readFrame(SNAPSHOT_FILE)?.let { WireJson.decodeFromString<StoredSnapshot>(it) }
+            val vote = readFrame(VOTE_FILE)?.let { decode<VoteState>(it, VOTE_FILE, offset = 0) }
+            val snapshot = readFrame(SNAPSHOT_FILE)?.let { decode<StoredSnapshot>(it, SNAPSHOT_FILE, offset = 0) }
             val records = openLog()
             when {
                 vote == null && (snapshot != null || records.isNotEmpty()) -> throw CorruptionException(VOTE_FILE, 0, "the file is missing")
@@ -66,10 +66,10 @@
             refuse(StorageError.Corrupt("$path/${e.file}", e.offset, e.reason))
         }
 
-    private fun readFrame(name: String): String? {
+    private fun readFrame(name: String): ByteArray? {
         if (!folder.exists(name)) return null
-        val bodies = ArrayList<String>()
-        val scan = folder.open(name).use { file -> Frames.scan(file) { body, _ -> bodies += body.decodeToString() } }
+        val bodies = ArrayList<ByteArray>()
+        val scan = folder.open(name).use { file -> Frames.scan(file) { body, _ -> bodies += body } }
         return bodies.singleOrNull() ?: throw CorruptionException(name, scan.endOffset, "the file must hold exactly one valid frame")
     }
 
@@ -80,21 +80,22 @@
         logFile = file
         if (isNew) folder.syncNames()
         val records = ArrayList<LogRecord>()
-        val scan = Frames.scan(file) { body, offset -> addFrame(records, decode(body, offset), offset) }
+        val scan = Frames.scan(file) { body, offset -> addFrame(records, decode(body, LOG_FILE, offset), offset) }
         scan.corruptOffset?.let { throw CorruptionException(LOG_FILE, it, "bad checksum before the last frame") }
         if (file.size > scan.endOffset) file.truncate(scan.endOffset)
         file.sync()
         return records
     }
 
-    private fun decode(
+    private inline fun <reified T> decode(
         body: ByteArray,
+        file: String,
         offset: Long,
-    ): List<LogRecord> =
+    ): T =
         try {
             WireJson.decodeFromString(body.decodeToString())
         } catch (e: SerializationException) {
-            throw CorruptionException(LOG_FILE, offset, "the frame does not decode to records: $e")
+            throw CorruptionException(file, offset, "the frame does not decode: $e")
         }
 
     /** Adds the records of [frame] to [records]. Each replaces all earlier records from its index on. */
--- a/replication/src/main/kotlin/io/bluebellramp/replication/LogMember.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/LogMember.kt
@@ -10,6 +10,7 @@
 import io.bluebellramp.messages.SnapshotResponse
 import io.bluebellramp.messages.VoteRequest
 import io.bluebellramp.messages.VoteResponse
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -93,15 +94,21 @@
 
     /** Reads the stored state and starts the member. Call it at most once. */
     suspend fun start(): LogStartResult =
-        when (val result = withContext(diskDispatcher) { storage.open(self.member) }) {
-            is StorageOpenResult.Refused -> {
-                close()
-                LogStartResult.Refused(result.error)
-            }
-
-            is StorageOpenResult.Opened -> {
-                startCore(result.state)
+        try {
+            when (val result = withContext(diskDispatcher) { storage.open(self.member) }) {
+                is StorageOpenResult.Refused -> {
+                    close()
+                    LogStartResult.Refused(result.error)
+                }
+
+                is StorageOpenResult.Opened -> {
+                    startCore(result.state)
+                }
             }
+        } catch (e: Throwable) {
+            // The lock must be free for the next attempt.
+            close()
+            throw e
         }
 
     /** Stops the member immediately. Pending proposals complete with [ProposalResult.Unknown]. */
@@ -154,19 +161,28 @@
     }
 
     private fun launchLoops(core: RaftCore) {
+        scope.launch { stopOnError { runCore(core) } }
+        scope.launch(diskDispatcher) { stopOnError { persistOutputs() } }
         scope.launch {
-            try {
-                runCore(core)
-            } finally {
-                stop()
+            stopOnError {
+                while (true) {
+                    inputs.trySend { it.onTick(clock.monotonic()) }
+                    delay(delayUntilTick())
+                }
             }
         }
-        scope.launch(diskDispatcher) { persistOutputs() }
-        scope.launch {
-            while (true) {
-                inputs.trySend { it.onTick(clock.monotonic()) }
-                delay(delayUntilTick())
-            }
+    }
+
+    /** Runs [work], without which the member can't go on, and stops the member when it ends. */
+    private suspend fun stopOnError(work: suspend () -> Unit) {
+        try {
+            work()
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Throwable) {
+            listener.onError(e)
+        } finally {
+            stop()
         }
     }
 
@@ -232,14 +248,24 @@
 
     private suspend fun send(effect: Effect.Send) {
         val response =
-            when (val request = effect.request) {
-                is PeerRequest.Vote -> transport.vote(effect.to, request.body)?.let { PeerResponse.Vote(it) }
-                is PeerRequest.Append -> transport.append(effect.to, request.body)?.let { PeerResponse.Append(it) }
-                is PeerRequest.Snapshot -> transport.snapshot(effect.to, request.body)?.let { PeerResponse.Snapshot(it) }
+            try {
+                call(effect)
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: Exception) {
+                listener.onFailedSend(e)
+                null
             }
         inputs.trySend { it.onResponse(clock.monotonic(), effect.to, effect.request, response) }
     }
 
+    private suspend fun call(effect: Effect.Send): PeerResponse? =
+        when (val request = effect.request) {
+            is PeerRequest.Vote -> transport.vote(effect.to, request.body)?.let { PeerResponse.Vote(it) }
+            is PeerRequest.Append -> transport.append(effect.to, request.body)?.let { PeerResponse.Append(it) }
+            is PeerRequest.Snapshot -> transport.snapshot(effect.to, request.body)?.let { PeerResponse.Snapshot(it) }
+        }
+
     /** Passes [request] to the core and returns its answer, or null if this member has stopped. */
     private suspend fun submitRequest(request: PeerRequest): PeerResponse? {
         val call = lastId.incrementAndGet()
@@ -271,6 +297,7 @@
 
     private fun stop() {
         leaseEnd = null
+        status = status.copy(role = Role.LEARNER, leader = null)
         inputs.close()
         scope.cancel()
     }
--- a/replication/src/main/kotlin/io/bluebellramp/replication/LogSettings.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/LogSettings.kt
@@ -9,6 +9,10 @@
  * @property electionMillis minimum election timeout (ms): the shortest time without contact to a leader before a member starts an election
  * @property heartbeatMillis interval between heartbeats of the leader (ms)
  * @property snapshotRecords number of applied records after which a snapshot replaces them
+ * @property snapshotCharacters size of the applied records (characters) after which a snapshot replaces them, if it is not smaller than the last
+ * snapshot. A member holds its log in memory, so this and [maxUncommittedCharacters] bound the memory that it needs
+ * @property maxUncommittedCharacters size of the uncommitted records (characters) beyond which a leader refuses proposals. A single proposal may be
+ * larger
  * @property maxSnapshotChunkCharacters maximum size of the part of a snapshot that one message carries (characters)
  * @property learnerTimeoutMillis longest time that a learner which is to become a voter may leave requests unanswered (ms). After it the
  * membership change is abandoned, so that it does not block other changes
@@ -21,6 +25,8 @@
     val electionMillis: Long = 400,
     val heartbeatMillis: Long = 125,
     val snapshotRecords: Int = 2000,
+    val snapshotCharacters: Int = 4 * 1024 * 1024,
+    val maxUncommittedCharacters: Int = 4 * 1024 * 1024,
     val maxSnapshotChunkCharacters: Int = 65_536,
     val learnerTimeoutMillis: Long = 60_000,
     val electsAtStart: Boolean = false,
--- a/replication/src/main/kotlin/io/bluebellramp/replication/MemberState.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/MemberState.kt
@@ -62,6 +62,12 @@
         leader = next
     }
 
+    /** Returns whether [command] fits beside the uncommitted records. Without any it always does. */
+    fun hasRoomFor(command: String): Boolean {
+        val uncommitted = log.characters(commitIndex + 1, log.lastIndex)
+        return uncommitted == 0L || uncommitted + command.length <= settings.maxUncommittedCharacters
+    }
+
     /** Appends a record of the current term and returns its index. */
     fun append(
         kind: RecordKind,
@@ -103,17 +109,25 @@
      * snapshot would hide that both the old and the new majority are needed.
      */
     private fun compactLog() {
-        if (log.isJoint || appliedIndex - log.snapshotIndex < snapshotThreshold()) return
+        if (log.isJoint || !hasEnoughForSnapshot()) return
         val term = checkNotNull(log.termAt(appliedIndex))
         val snapshot = StoredSnapshot(appliedIndex, term, log.membershipAt(appliedIndex), stateMachine.snapshot())
         log.resetToSnapshot(snapshot)
         outbox.write(StorageWrite.Snapshot(snapshot, log.recordsFrom(appliedIndex + 1)))
     }
 
+    private fun hasEnoughForSnapshot(): Boolean {
+        val records = appliedIndex - log.snapshotIndex
+        if (records >= staggered(settings.snapshotRecords)) return true
+        // A snapshot that is larger than the records it replaces would cost more than it saves.
+        val least = maxOf(staggered(settings.snapshotCharacters), log.snapshot?.body?.length ?: 0)
+        return records > 0 && log.characters(log.snapshotIndex + 1, appliedIndex) >= least
+    }
+
     /** Differs by member, so that the members take snapshots at different indexes and a majority can sync records meanwhile. */
-    private fun snapshotThreshold(): Int {
+    private fun staggered(threshold: Int): Int {
         val position = log.membership.voters.indexOfFirst { it.member == id }
-        return settings.snapshotRecords + settings.snapshotRecords * (position + 1) / SNAPSHOT_STAGGER_DIVISOR
+        return threshold + threshold / SNAPSHOT_STAGGER_DIVISOR * (position + 1)
     }
 
     private fun abandonProposals() {
--- a/replication/src/main/kotlin/io/bluebellramp/replication/RaftCore.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/RaftCore.kt
@@ -93,6 +93,7 @@
         command: String,
     ) {
         if (state.role != Role.LEADER) return state.outbox.completeProposal(proposal, ProposalResult.NotLeader(state.leader))
+        if (!state.hasRoomFor(command)) return state.outbox.completeProposal(proposal, ProposalResult.Refused(TOO_MANY_UNCOMMITTED))
         state.pendingProposals[state.append(RecordKind.COMMAND, command)] = proposal
     }
 
@@ -148,4 +149,8 @@
         val body = (response as PeerResponse.Vote?)?.body ?: return
         if (request.body.founding) bootstrap.onVoteResponse(from, body) else elections.onVoteResponse(now, from, request.body, body)
     }
+
+    private companion object {
+        const val TOO_MANY_UNCOMMITTED = "too many records wait to be committed"
+    }
 }
--- a/replication/src/main/kotlin/io/bluebellramp/replication/RecordLog.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/RecordLog.kt
@@ -88,6 +88,12 @@
         return if (start >= end) emptyList() else ArrayList(records.subList(start, end))
     }
 
+    /** Returns the size of the bodies of the records from [first] to [last] (characters). */
+    fun characters(
+        first: Long,
+        last: Long,
+    ): Long = (first..last).sumOf { record(it).body.length.toLong() }
+
     fun append(added: List<LogRecord>) {
         for (record in added) {
             check(record.index == lastIndex + 1) { "record ${record.index} does not follow $lastIndex" }
--- a/replication/src/main/kotlin/io/bluebellramp/replication/ReplicatedLog.kt
+++ b/replication/src/main/kotlin/io/bluebellramp/replication/ReplicatedLog.kt
@@ -26,7 +26,7 @@
     /** Leadership was lost before the proposal completed. It may or may not be committed. */
     data object Unknown : ProposalResult
 
-    /** A membership change was refused for [reason]. The voters are unchanged. */
+    /** The proposal was refused for [reason], and nothing was proposed. */
     data class Refused(
         val reason: String,
     ) : ProposalResult
--- a/replication/src/test/kotlin/io/bluebellramp/replication/LogMemberTest.kt
+++ b/replication/src/test/kotlin/io/bluebellramp/replication/LogMemberTest.kt
@@ -12,19 +12,23 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.withTimeoutOrNull
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.io.TempDir
+import java.nio.file.Files
 import java.nio.file.Path
 import java.util.concurrent.CountDownLatch
 import kotlin.io.path.ExperimentalPathApi
 import kotlin.io.path.deleteRecursively
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 import kotlin.test.assertIs
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
 
 class LogMemberTest {
     @TempDir
@@ -186,6 +190,117 @@
             }
     }
 
+    /** A state that is as large as the last command. */
+    private class LastCommand : StateMachine {
+        var command = ""
+
+        override fun apply(
+            index: Long,
+            command: String,
+        ): String {
+            check(command != POISON) { "cannot apply $command" }
+            this.command = command
+            return command.take(ID_CHARACTERS)
+        }
+
+        override fun snapshot() = command
+
+        override fun restore(snapshot: String) {
+            command = snapshot
+        }
+    }
+
+    private fun singleMember(
+        machine: StateMachine,
+        listener: LogListener = object : LogListener {},
+    ): LogMember {
+        val self = address("a")
+        val settings = LogSettings(electionMillis = 100, heartbeatMillis = 20, snapshotCharacters = 10_000)
+        return LogMember(self, listOf(self), false, cluster.folder("a"), machine, cluster, SystemClock, settings, listener)
+    }
+
+    private suspend fun LogMember.proposeUntilApplied(command: String) =
+        cluster.eventually("applied") { propose(command) as? ProposalResult.Applied }
+
+    @Nested
+    inner class `a log of large records` {
+        /** Guards against a log that a process of the same size can't read again. */
+        @Test
+        fun `is bounded by the size of the records, and a restarted member has the last one`() =
+            runBlocking {
+                val member = singleMember(LastCommand())
+                member.start()
+                val log = cluster.folder("a").resolve("log")
+                repeat(60) {
+                    member.proposeUntilApplied("$it ".padEnd(3_000, 'x'))
+                    assertTrue(Files.size(log) < 20_000, "the log has ${Files.size(log)} bytes")
+                }
+                member.close()
+                val machine = LastCommand()
+                val again = singleMember(machine)
+                again.start()
+                cluster.eventually("the last command") { machine.command.takeIf { it.startsWith("59 ") } }
+                again.close()
+            }
+
+        @Test
+        fun `is not replaced by a snapshot that is larger than its records`() =
+            runBlocking {
+                val member = singleMember(LastCommand())
+                member.start()
+                member.proposeUntilApplied("x".repeat(30_000))
+                val snapshot = cluster.folder("a").resolve("snapshot")
+                cluster.eventually("a snapshot") { if (Files.exists(snapshot)) true else null }
+                val first = Files.getLastModifiedTime(snapshot)
+                repeat(5) { member.proposeUntilApplied("$it ".padEnd(5_000, 'x')) }
+                assertEquals(first, Files.getLastModifiedTime(snapshot))
+                member.close()
+            }
+    }
+
+    @Nested
+    inner class `an error in a member` {
+        /** Guards against a process that goes on without the work of its log. */
+        @Test
+        fun `stops it, is reported, and frees the folder`() =
+            runBlocking {
+                val reported = CompletableDeferred<Throwable>()
+                val listener =
+                    object : LogListener {
+                        override fun onError(cause: Throwable) {
+                            reported.complete(cause)
+                        }
+                    }
+                val member = singleMember(LastCommand(), listener)
+                member.start()
+                member.proposeUntilApplied("1 ")
+                member.propose(POISON)
+                assertEquals("cannot apply $POISON", withTimeout(5.seconds) { reported.await() }.message)
+                assertEquals(ProposalResult.NotLeader(null), member.propose("2 "))
+                assertNull(member.status().leader)
+                member.close()
+            }
+
+        @Test
+        fun `during its start leaves the folder unlocked`() =
+            runBlocking {
+                singleMember(LastCommand()).run {
+                    start()
+                    proposeUntilApplied("x".repeat(30_000))
+                    cluster.eventually("a snapshot") { if (Files.exists(cluster.folder("a").resolve("snapshot"))) true else null }
+                    close()
+                }
+                val refusing =
+                    object : StateMachine by LastCommand() {
+                        override fun restore(snapshot: String) = error("cannot restore")
+                    }
+                assertFailsWith<IllegalStateException> { singleMember(refusing).start() }
+                val next = singleMember(LastCommand())
+                assertEquals(LogStartResult.Started, next.start())
+                next.close()
+            }
+    }
+
     @Nested
     inner class `a slow disk` {
         private inner class BlockingStorage : LogStorage {
@@ -237,4 +352,9 @@
                 member.close()
             }
     }
+
+    private companion object {
+        const val POISON = "poison"
+        const val ID_CHARACTERS = 3
+    }
 }
--- a/replication/src/test/kotlin/io/bluebellramp/replication/RaftCoreTest.kt
+++ b/replication/src/test/kotlin/io/bluebellramp/replication/RaftCoreTest.kt
@@ -52,6 +52,35 @@
         }
     }
 
+    @Nested
+    inner class `a leader without answers` {
+        private val cluster = SimulatedCluster(Random(SEED), 3, NetworkFaults(0.0, 0.0, 0.0), maxUncommittedCharacters = 100)
+
+        /** Guards against a log that grows without bound while nothing is committed. */
+        @Test
+        fun `refuses proposals beyond the size of uncommitted records, and accepts them again later`() {
+            cluster.runUntil(3.seconds)
+            val leader = cluster.nodes.values.single { it.holdsLeaderLease }
+            leader.core?.let { core ->
+                (1L..10L).forEach { core.onPropose(it, "command $it ".padEnd(40, 'x')) }
+                val refused =
+                    core
+                        .takeOutput(leader.clock)
+                        .immediateEffects
+                        .filterIsInstance<Effect.CompleteProposal>()
+                        .map { it.proposal to it.result::class }
+                assertEquals((3L..10L).map { it to ProposalResult.Refused::class }, refused)
+            }
+            cluster.crash(leader)
+            cluster.start(leader)
+            cluster.runUntil(cluster.now + 3.seconds)
+            val next = cluster.nodes.values.single { it.holdsLeaderLease }
+            cluster.propose(next, "a single proposal may be larger".padEnd(300, 'x'))
+            cluster.runUntil(cluster.now + 1.seconds)
+            assertEquals(1, cluster.checker.acceptedCount)
+        }
+    }
+
     @Nested
     inner class `members that elect immediately after they start` {
         private val fastCluster = SimulatedCluster(Random(SEED), 3, NetworkFaults(0.0, 0.0, 0.0), electsAtStart = true)
--- a/replication/src/test/kotlin/io/bluebellramp/replication/SimulatedCluster.kt
+++ b/replication/src/test/kotlin/io/bluebellramp/replication/SimulatedCluster.kt
@@ -19,6 +19,7 @@
     electsAtStart: Boolean = false,
     messagesCarryReceiverId: Boolean = false,
     learnerTimeoutMillis: Long = 60_000,
+    maxUncommittedCharacters: Int = 100_000,
 ) {
     /** A simulated member. It keeps its disk and its clock across restarts; the core and the state machine are new after each. */
     inner class Node(
@@ -62,6 +63,7 @@
             snapshotRecords = 15,
             maxSnapshotChunkCharacters = 100,
             learnerTimeoutMillis = learnerTimeoutMillis,
+            maxUncommittedCharacters = maxUncommittedCharacters,
             electsAtStart = electsAtStart,
             messagesCarryReceiverId = messagesCarryReceiverId,
         )
--- a/transport/src/main/kotlin/io/bluebellramp/transport/EventLoop.kt
+++ b/transport/src/main/kotlin/io/bluebellramp/transport/EventLoop.kt
@@ -74,11 +74,11 @@
         group.shutdownGracefully(SHUTDOWN_QUIET_PERIOD_MILLIS, SHUTDOWN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
     }
 
-    /** Runs [task] and logs its exceptions, since the executor cancels a repeated task that throws. */
+    /** Runs [task] and logs what it throws, errors too, since the executor cancels a repeated task that throws. */
     private fun runLogged(task: () -> Unit) =
         try {
             task()
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
             Logger.error(e, "Task on the event loop failed")
         }
 
