A catalog beyond what a control can hold is refused, and the state is encoded once for all links

Cause: a catalog takes many times its size on its way through a control, several arrived at once, and the state was encoded anew for each link. A SharedFrame carries the state to all links, and to new ones.

--- a/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
@@ -27,6 +27,7 @@
 import io.bluebellramp.transport.FrameServer
 import io.bluebellramp.transport.LinkListener
 import io.bluebellramp.transport.LinkPorts
+import io.bluebellramp.transport.SharedFrame
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -79,6 +80,10 @@
     private val voterMonitor = VoterMonitor()
     private val transport = LinkLogTransport(loop, clock, CALL_TIMEOUT) { dialers[it]?.link }
     private var state: SharedState? = null
+
+    /** The state that [encodedFrame] holds. */
+    private var encodedState: SharedState? = null
+    private var encodedFrame: SharedFrame? = null
     private var directory = Directory(controls = emptyList(), entries = emptyList())
     private var leaderSince: Duration? = null
 
@@ -208,9 +213,8 @@
     }
 
     private fun broadcastState() {
-        val known = state?.takeIf { isCurrent } ?: return
-        val text = stateFrame(known)
-        processes.keys.forEach { it.send(text) }
+        val frame = stateFrame() ?: return
+        processes.keys.forEach { it.send(frame) }
     }
 
     /** Until a restarted member has applied its whole log, its state may be outdated and is not sent. */
@@ -225,9 +229,20 @@
         broadcastState()
     }
 
-    /** Leaves out the catalog's source text, because other processes need only its parsed queues and services. */
-    private fun stateFrame(state: SharedState) =
-        WireJson.encodeToString(ControlFrame(state = state.copy(catalog = state.catalog?.copy(document = ""))))
+    /**
+     * Returns the frame with the state, or null if the state may not be sent. Leaves out the catalog's source text, because other processes need only
+     * its parsed queues and services.
+     */
+    private fun stateFrame(): SharedFrame? {
+        val known = state?.takeIf { isCurrent } ?: return null
+        if (known !== encodedState) {
+            encodedFrame?.release()
+            encodedFrame =
+                SharedFrame(WireJson.encodeToString(ControlFrame(state = known.copy(catalog = known.catalog?.copy(document = "")))))
+            encodedState = known
+        }
+        return encodedFrame
+    }
 
     private fun tick() {
         val now = clock.monotonic()
@@ -390,7 +405,7 @@
         ) {
             processes[link] = hello
             logDecision(Decision(kind = "process_seen", reason = "${hello.role.name.lowercase()} ${hello.node} at ${hello.address}"))
-            state?.takeIf { isCurrent }?.let { link.send(stateFrame(it)) }
+            stateFrame()?.let { link.send(it) }
             link.send(WireJson.encodeToString(ControlFrame(directory = directory, agents = announcedAgents)))
         }
     }
--- a/transport/src/main/kotlin/io/bluebellramp/transport/FrameLink.kt
+++ b/transport/src/main/kotlin/io/bluebellramp/transport/FrameLink.kt
@@ -50,7 +50,12 @@
     val remoteHost: String get() = (channel.remoteAddress() as? java.net.InetSocketAddress)?.hostString ?: "unknown"
 
     /** Sends [text]. Closes the link instead if the peer reads so slowly that unsent data would fill the memory. */
-    fun send(text: String) {
+    fun send(text: String) = send { Unpooled.wrappedBuffer(text.encodeToByteArray()) }
+
+    /** Sends [frame] like a text. */
+    fun send(frame: SharedFrame) = send { frame.buffer.retainedDuplicate() }
+
+    private fun send(message: () -> ByteBuf) {
         if (!channel.isActive) return
         if ((channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0) > MAX_PENDING_WRITE_BYTES) {
             Logger.warn("Link to $remoteHost closed: more than $MAX_PENDING_WRITE_BYTES bytes are waiting for the peer to read them")
@@ -58,7 +63,7 @@
             return
         }
         lastSentAt = clock.monotonic()
-        channel.writeAndFlush(Unpooled.wrappedBuffer(text.encodeToByteArray()), channel.voidPromise())
+        channel.writeAndFlush(message(), channel.voidPromise())
     }
 
     /** Closes the connection if no frame was received for [timeout]. Frames that arrived while the process was busy are read first. */
--- a/transport/src/main/kotlin/io/bluebellramp/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/io/bluebellramp/transport/HttpServer.kt
@@ -12,7 +12,9 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
@@ -86,7 +88,7 @@
             channel.pipeline().addLast(
                 ReceiveTimer(connection),
                 HttpServerCodec(currentLimits.maxHeaderBytes, currentLimits.maxHeaderBytes, MAX_CHUNK_BYTES),
-                HttpObjectAggregator(currentLimits.maxBodyBytes, true),
+                BodyAggregator(currentLimits.maxBodyBytes, connection),
                 connection,
             )
         }
@@ -105,6 +107,21 @@
     }
 }
 
+/** Joins the parts of a request. Refuses one whose body exceeds [maxBodyBytes], and skips the rest of it. */
+private class BodyAggregator(
+    private val maxBodyBytes: Int,
+    private val connection: HttpConnection,
+) : HttpObjectAggregator(maxBodyBytes, true) {
+    override fun handleOversizedMessage(
+        context: ChannelHandlerContext,
+        oversized: HttpMessage,
+    ) {
+        val uri = (oversized as? HttpRequest)?.uri()
+        Logger.info("Request for $uri refused: its body exceeds $maxBodyBytes bytes")
+        connection.refuseBody("{\"error\":\"the body exceeds $maxBodyBytes bytes\"}")
+    }
+}
+
 /** Records when the first byte of a request is received, before the request is complete. */
 private class ReceiveTimer(
     private val connection: HttpConnection,
@@ -129,6 +146,18 @@
     private var receivingSinceNanos: Long? = null
     private var idleSinceNanos = System.nanoTime()
 
+    /** True once a body was refused: the connection takes no further request. */
+    private var isRefused = false
+
+    /**
+     * Answers a request that is too large. The connection is closed by its caller, or once a request would have timed out: closed at once, it would be
+     * reset by the rest of the body before the caller has read the answer.
+     */
+    fun refuseBody(reason: String) {
+        isRefused = true
+        write(HttpResponse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code(), reason), keepAlive = true, announcesClose = true)
+    }
+
     fun onBytesReceived() {
         if (receivingSinceNanos == null) receivingSinceNanos = System.nanoTime()
     }
@@ -146,7 +175,12 @@
         val receivingSince = receivingSinceNanos
         val isOverdue = receivingSince != null && now - receivingSince > limits.requestTimeout.inWholeNanoseconds
         val isIdleTooLong = isIdle && now - idleSinceNanos > limits.idleTimeout.inWholeNanoseconds
-        if (isOverdue && current == null) write(HttpResponse(HttpResponseStatus.REQUEST_TIMEOUT.code(), closes = true), keepAlive = false)
+        if (isOverdue && isRefused) channel?.close()
+        if (isOverdue && current == null &&
+            !isRefused
+        ) {
+            write(HttpResponse(HttpResponseStatus.REQUEST_TIMEOUT.code(), closes = true), keepAlive = false)
+        }
         if (isIdleTooLong) channel?.close()
     }
 
@@ -159,6 +193,7 @@
         context: ChannelHandlerContext,
         message: FullHttpRequest,
     ) {
+        if (isRefused) return
         receivingSinceNanos = null
         if (!message.decoderResult().isSuccess) return rejectMalformed(message)
         if (pendingRequests.size >= MAX_PENDING_REQUESTS) {
@@ -203,6 +238,7 @@
     private fun write(
         response: HttpResponse,
         keepAlive: Boolean,
+        announcesClose: Boolean = false,
     ) {
         val open = channel ?: return
         val body = Unpooled.wrappedBuffer(response.body.encodeToByteArray())
@@ -212,7 +248,7 @@
         if (response.body.isNotEmpty()) headers.set(HttpHeaderNames.CONTENT_TYPE, response.contentType)
         response.headers.forEach { (name, value) -> headers.set(name, value) }
         val closes = response.closes || !keepAlive || server.isDraining
-        if (closes) headers.set(HttpHeaderNames.CONNECTION, "close")
+        if (closes || announcesClose) headers.set(HttpHeaderNames.CONNECTION, "close")
         val written = open.writeAndFlush(fullResponse)
         if (closes) written.addListener(ChannelFutureListener.CLOSE)
     }
--- /dev/null
+++ b/transport/src/main/kotlin/io/bluebellramp/transport/SharedFrame.kt
@@ -0,0 +1,19 @@
+package io.bluebellramp.transport
+
+import io.netty.buffer.Unpooled
+
+/**
+ * A frame that is encoded once for all links on which it is sent, so that a large one takes its memory once and not for each link. Confined to the
+ * event loop.
+ */
+class SharedFrame(
+    text: String,
+) {
+    // The socket would copy a buffer on the heap for each link.
+    internal val buffer = text.encodeToByteArray().let { Unpooled.directBuffer(it.size).writeBytes(it) }
+
+    /** Frees the memory once the links have sent the frame. It must not be sent again. */
+    fun release() {
+        buffer.release()
+    }
+}
--- a/transport/src/test/kotlin/io/bluebellramp/transport/FrameLinkTest.kt
+++ b/transport/src/test/kotlin/io/bluebellramp/transport/FrameLinkTest.kt
@@ -50,6 +50,25 @@
         assertEquals(2, received.count { it == "server hello" }, "$received")
     }
 
+    @Test
+    fun `a frame that is shared by several links arrives on each, and its memory is freed when all have sent it`() {
+        val frame = SharedFrame("shared ".padEnd(100_000, 'x'))
+        val opened = ArrayList<FrameLink>()
+        val server = RecordingListener("server") { opened += it }
+        FrameServer(loop, SystemClock, address.host, address.port, server).start()
+        val dialers = List(3) { FrameDialer(loop, SystemClock, address, 5.seconds, RecordingListener("dialer")) }
+        loop.execute { dialers.forEach { it.start() } }
+        loop.every(10.milliseconds) {
+            if (opened.size < dialers.size) return@every
+            opened.forEach { it.send(frame) }
+            opened.clear()
+            frame.release()
+        }
+        assertEquals(List(3) { "dialer ".length + 100_000 }, List(3) { nextEvent()?.length })
+        repeat(100) { if (frame.buffer.refCnt() > 0) Thread.sleep(20) }
+        assertEquals(0, frame.buffer.refCnt())
+    }
+
     @Test
     fun `a link whose frames arrived while the process was busy is not taken for a silent one`() {
         val serverLoop = EventLoop()
--- a/transport/src/test/kotlin/io/bluebellramp/transport/HttpServerTest.kt
+++ b/transport/src/test/kotlin/io/bluebellramp/transport/HttpServerTest.kt
@@ -105,6 +105,22 @@
             }
         }
 
+        /** Guards against a caller that takes a refused body for a lost answer and sends it again. */
+        @Test
+        fun `a body that is too large is refused with a reason, which the caller reads after it has sent all of it`() {
+            connect().use { socket ->
+                socket.send("POST /a HTTP/1.1\r\nContent-Length: 2000000\r\n\r\n")
+                repeat(20) { socket.send("x".repeat(100_000)) }
+                val lines = socket.getInputStream().bufferedReader()
+                val head = generateSequence { lines.readLine().takeIf { it.isNotEmpty() } }.toList()
+                assertTrue("413" in head.first(), "$head")
+                assertTrue(head.any { it.equals("connection: close", ignoreCase = true) }, "$head")
+                val reason = "{\"error\":\"the body exceeds 100 bytes\"}"
+                assertEquals(reason, CharArray(reason.length).also { lines.read(it) }.concatToString())
+                assertEquals(0, calls.size)
+            }
+        }
+
         @Test
         fun `draining lets the current request finish and then closes its connection`() {
             connect().use { socket ->
