Agents and entries keep nothing for queues that are gone

Cause: an agent kept and reported every queue of which a task had ever run, an entry kept a histogram for each and compared every call with all queues of the catalog. Ruled out: run numbers, health of targets and directories are bounded or do not grow with queues. Conclusion: the cost of a queue ends with it.

--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
@@ -56,6 +56,10 @@
     /** The catalog in force, or null before the first was received. */
     val catalog: Catalog? get() = control.state?.catalog
 
+    /** The queues of [catalog]. */
+    var queues = QueueIndex(emptyList())
+        private set
+
     /** True while jobs can be served: the catalog is known, an agent accepts tasks, and the entry is not stopping. */
     val isReady: Boolean get() = !isStopping && catalog != null && scheduler.openAgents > 0
 
@@ -106,7 +110,10 @@
     /** Uses [seeds] to find control from now on. */
     fun useSeeds(seeds: List<Address>) = control.useSeeds(seeds)
 
-    private fun applyState(state: SharedState) = scheduler.setZonesOut(state.zonesOut.toSet())
+    private fun applyState(state: SharedState) {
+        queues = QueueIndex(state.catalog?.queues.orEmpty())
+        scheduler.setZonesOut(state.zonesOut.toSet())
+    }
 
     private fun tick() {
         if (abandonLinksAfterPause()) return
--- a/placement/src/main/kotlin/io/bluebellramp/placement/RunQueue.kt
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/RunQueue.kt
@@ -93,8 +93,12 @@
                 backlog.items.sumOf { it.cpuMicros }
         }
 
-    /** Removes and returns the tasks whose latest start has passed. */
-    fun takeExpired(now: Duration): List<T> = remove { it.startBy < now }
+    /** Removes and returns the tasks whose latest start has passed. Forgets queues without tasks whose served work no longer counts. */
+    fun takeExpired(now: Duration): List<T> {
+        val expired = remove { it.startBy < now }
+        backlogs.values.removeIf { it.items.isEmpty() && it.servedCpuMicros(now) < NEGLIGIBLE_CPU_MICROS }
+        return expired
+    }
 
     /** Removes and returns the tasks that match [predicate]. */
     fun removeAll(predicate: (T) -> Boolean): List<T> = remove { predicate(it.task) }
@@ -112,5 +116,8 @@
     private companion object {
         /** Half-life of the served work: longer than the run time of a task, shorter than a typical change of the load. */
         val SERVED_WORK_HALF_LIFE = 2.seconds
+
+        /** Less than any task takes (core-microseconds). */
+        const val NEGLIGIBLE_CPU_MICROS = 1_000.0
     }
 }
--- a/placement/src/test/kotlin/io/bluebellramp/placement/CapacityPoliciesTest.kt
+++ b/placement/src/test/kotlin/io/bluebellramp/placement/CapacityPoliciesTest.kt
@@ -139,6 +139,19 @@
             assertEquals("soon", queue.takeFitting(now, 1000, 1))
         }
 
+        /** Guards against capacity reports that grow with every queue of which a task ever ran. */
+        @Test
+        fun `queues without tasks are forgotten once the work that they were served no longer counts`() {
+            repeat(100) { add("task $it", queueName = "q$it") }
+            repeat(100) { queue.takeFitting(now, 1000, 1) }
+            queue.takeExpired(now)
+            assertEquals(100, queue.cpuMicrosByQueue(now).size, "the served work still decides who is next")
+            add("waits", queueName = "q7", startIn = 40.seconds)
+            val later = now + 30.seconds
+            assertEquals(emptyList(), queue.takeExpired(later))
+            assertEquals(listOf("q7"), queue.cpuMicrosByQueue(later).map { it.first })
+        }
+
         @Test
         fun `a smaller task passes one that does not fit`() {
             add("large", milliCpu = 9000)
