A submission that waits for a job of the same id is answered in time

Once the wait was over it got its whole timeout again. Change: resubmissions keep a deadline from their arrival. At the deadline and when the entry stops they are answered as unfinished. Ruled out: "not run" as the answer, because tasks of the ended job may run. To give up runs at a target whose calls cannot be sent: an order to start without an answer may be carried out by the target's next life, so that needs more than a count of calls; it is open. Measured: the three new cases of JobSchedulerTest failed without the change.

--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/Job.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/Job.kt
@@ -59,10 +59,18 @@
     }
 }
 
+/** A submission with the id of a job that has ended but may still run. [caller] waits until [deadline] at most. */
+internal class Resubmission(
+    val request: JobRequest,
+    val caller: Caller,
+    val deadline: Duration,
+)
+
 /** An open job of an entry, with its tasks and its callers. */
 internal class Job(
     val request: JobRequest,
     val arrivedAt: Duration,
+    val deadline: Duration = arrivedAt + request.timeout,
 ) {
     val tasks: List<JobTask> = request.steps.flatMapIndexed { step, body -> List(body.count) { JobTask(step, it) } }
     val callers = ArrayList<Caller>()
@@ -73,9 +81,8 @@
     var isClosed = false
 
     /** Submissions with the same id that wait until this job is closed. */
-    val resubmissions = ArrayList<Pair<JobRequest, Caller>>()
+    val resubmissions = ArrayList<Resubmission>()
     val id get() = request.id
-    val deadline = arrivedAt + request.timeout
     val dueAt = arrivedAt + request.objective
     val isDone get() = tasks.all { it.state == TaskState.Done }
 
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/JobScheduler.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/JobScheduler.kt
@@ -58,15 +58,21 @@
     fun submit(
         request: JobRequest,
         caller: Caller,
+    ) = submit(request, caller, deadline = clock.monotonic() + request.timeout)
+
+    private fun submit(
+        request: JobRequest,
+        caller: Caller,
+        deadline: Duration,
     ) {
         val existing = jobs[request.id]
         when {
-            existing == null -> admit(request, caller)
+            existing == null -> admit(request, caller, deadline)
 
             existing.endCause == null -> existing.callers += caller
 
             // A task must not run twice at once: the new submission waits until the old job is gone.
-            else -> existing.resubmissions += request to caller
+            else -> existing.resubmissions += Resubmission(request, caller, deadline)
         }
     }
 
@@ -77,7 +83,7 @@
     ) {
         val job = jobs[id] ?: return
         job.callers -= caller
-        job.resubmissions.removeAll { it.second === caller }
+        job.resubmissions.removeAll { it.caller === caller }
         if (job.callers.isEmpty() && job.endCause == null) end(job, EndCause.CallerLeft)
     }
 
@@ -90,10 +96,10 @@
 
     /** Ends all jobs because the process stops. */
     fun endAll() {
-        jobs.values
-            .toList()
-            .filter { it.endCause == null }
-            .forEach { end(it, EndCause.Aborted("the entry stops", SHORT_RETRY)) }
+        for (job in jobs.values.toList()) {
+            end(job, EndCause.Aborted(ENTRY_STOPS, SHORT_RETRY))
+            endResubmissions(job, ENTRY_STOPS)
+        }
     }
 
     /** Records that an agent has connected on [link]. */
@@ -185,7 +191,8 @@
                 val state = task.state
                 if (state is TaskState.Lost && state.until <= now) task.state = TaskState.Waiting
             }
-            if (job.endCause == null && now >= job.deadline) end(job, EndCause.Aborted("the caller's deadline has passed", SHORT_RETRY))
+            if (job.endCause == null && now >= job.deadline) end(job, EndCause.Aborted(DEADLINE_PASSED, SHORT_RETRY))
+            endResubmissions(job, DEADLINE_PASSED) { now >= it.deadline }
             advance(job)
         }
     }
@@ -193,9 +200,10 @@
     private fun admit(
         request: JobRequest,
         caller: Caller,
+        deadline: Duration,
     ) {
         val now = clock.monotonic()
-        val job = Job(request, now)
+        val job = Job(request, now, deadline)
         job.callers += caller
         val candidates = candidates(job, now)
         val refusal = refusal(job, candidates)
@@ -423,7 +431,20 @@
         job.isClosed = true
         jobs.remove(job.id)
         job.finalAnswer()?.let { answerCallers(job, it) }
-        job.resubmissions.forEach { (request, caller) -> submit(request, caller) }
+        job.resubmissions.forEach { submit(it.request, it.caller, it.deadline) }
+    }
+
+    /** Answers the resubmissions of [job] that match. Tasks of [job] may still run, so "not run" would not be true. */
+    private fun endResubmissions(
+        job: Job,
+        reason: String,
+        matches: (Resubmission) -> Boolean = { true },
+    ) {
+        val ended = job.resubmissions.filter(matches)
+        if (ended.isEmpty()) return
+        job.resubmissions -= ended.toSet()
+        recordDecision("resubmission_ended", job, "reason" to reason, "callers" to ended.size, "waiting" to job.resubmissions.size)
+        ended.forEach { it.caller.answer(JobAnswer.Unfinished(reason)) }
     }
 
     private fun Job.finalAnswer(): JobAnswer? =
@@ -472,6 +493,9 @@
     ) = outputs.onDecision(JobDecision(kind, job.id, mapOf("queue" to job.request.queue.name) + details))
 
     private companion object {
+        const val ENTRY_STOPS = "the entry stops"
+        const val DEADLINE_PASSED = "the caller's deadline has passed"
+
         /** By the users' rules, a late answer is still useful within three times the objective. */
         const val MAX_LATENESS_FACTOR = 3
 
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/JobSchedulerTest.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/JobSchedulerTest.kt
@@ -294,6 +294,62 @@
         }
     }
 
+    // Guards against submissions that wait unanswered for a job whose agent does not report the end of its tasks.
+    @Nested
+    inner class Resubmissions {
+        private val resent = ArrayList<JobAnswer>()
+        private val resender = Caller { resent += it }
+
+        private fun leaveEndedJob(): StepDispatch {
+            connectAgents(firstLink)
+            scheduler.submit(request(), caller)
+            val dispatch = outputs.dispatches.single().second
+            report(firstLink, dispatch, TaskEvent.STARTED)
+            clock.advance(1500.milliseconds)
+            scheduler.tick()
+            assertIs<JobAnswer.Unfinished>(answers.single())
+            return dispatch
+        }
+
+        @Test
+        fun `a resubmission is answered by its deadline while the ended job may still run`() {
+            leaveEndedJob()
+            scheduler.submit(request(timeout = 2.seconds), resender)
+            clock.advance(1999.milliseconds)
+            scheduler.tick()
+            assertEquals(emptyList(), resent)
+            clock.advance(1.milliseconds)
+            scheduler.tick()
+            assertIs<JobAnswer.Unfinished>(resent.single())
+            assertEquals(1, outputs.dispatches.size)
+        }
+
+        @Test
+        fun `a resubmission is answered when the entry stops, and does not start afterwards`() {
+            val dispatch = leaveEndedJob()
+            scheduler.submit(request(), resender)
+            scheduler.endAll()
+            assertIs<JobAnswer.Unfinished>(resent.single())
+            report(firstLink, dispatch, TaskEvent.STOPPED)
+            assertEquals(1, outputs.dispatches.size)
+            assertEquals(0, scheduler.openJobs)
+        }
+
+        @Test
+        fun `the time that a resubmission has waited counts towards its deadline`() {
+            val dispatch = leaveEndedJob()
+            scheduler.submit(request(timeout = 2.seconds), resender)
+            clock.advance(1.seconds)
+            scheduler.capacityReported(firstLink, capacityReport())
+            report(firstLink, dispatch, TaskEvent.STOPPED)
+            report(firstLink, outputs.dispatches.last().second, TaskEvent.STARTED)
+            clock.advance(1.seconds)
+            scheduler.tick()
+            assertEquals(2, outputs.dispatches.size)
+            assertIs<JobAnswer.Unfinished>(resent.single())
+        }
+    }
+
     @Nested
     inner class Failures {
         @Test
