A cancel ends submissions that wait for a job of the same id

Change: a cancel answers the waiting submissions as unfinished and forgets them. Ruled out: 410 for such a cancel, because the caller would have to find out which entry starts the job.

--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/JobScheduler.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/JobScheduler.kt
@@ -90,7 +90,8 @@
     /** Cancels the job with [id]. Returns false if this entry does not own it. */
     fun cancel(id: JobId): Boolean {
         val job = jobs[id] ?: return false
-        if (job.endCause == null) end(job, EndCause.Cancelled)
+        end(job, EndCause.Cancelled)
+        endResubmissions(job, EndCause.Cancelled.reason)
         return true
     }
 
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/JobSchedulerTest.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/JobSchedulerTest.kt
@@ -335,6 +335,18 @@
             assertEquals(0, scheduler.openJobs)
         }
 
+        // Guards against a cancelled job that starts when the target of its first submission is back.
+        @Test
+        fun `a cancelled resubmission is answered and never starts`() {
+            val dispatch = leaveEndedJob()
+            scheduler.submit(request(), resender)
+            assertTrue(scheduler.cancel(dispatch.job))
+            assertIs<JobAnswer.Unfinished>(resent.single())
+            report(firstLink, dispatch, TaskEvent.STOPPED)
+            assertEquals(1, outputs.dispatches.size)
+            assertEquals(0, scheduler.openJobs)
+        }
+
         @Test
         fun `the time that a resubmission has waited counts towards its deadline`() {
             val dispatch = leaveEndedJob()
