Turn away and delay by priority, slack and work when room is short

Cause: with targets full, waiting jobs were placed in order of arrival, each looking up all agents again at each tick; a job that could not meet its objective was held until its latest start had passed; the expected wait of a lower priority left out the more urgent work that arrives meanwhile; tasks of long jobs came back from full agents every 70 ms.

Change: ShortagePolicy (no I/O) orders waiting jobs, stretches expected waits by the share of more urgent work and turns away held jobs at once. JobAdmission wants the last task within the slack while priorities compete. A task waits at an agent for a quarter of its slack, at least 70 ms. Capacities are looked up once a tick. The jobs trial prints dispatches a job.

--- a/bench/src/main/kotlin/io/bluebellramp/bench/jobs/JobsCommand.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/jobs/JobsCommand.kt
@@ -32,7 +32,10 @@
         val jobs = trials.flatMap { it.run() }
         val rows = JobsReport.rows(jobs)
         println("seeds $seed to ${seed + seeds - 1}, load $load, ${model.targets.size} targets, ${model.entries.size} entries")
-        println(trials.map { it.traffic }.reduce(LinkTraffic::plus).summary(model, seeds))
+        val traffic = trials.map { it.traffic }.reduce(LinkTraffic::plus)
+        println(traffic.summary(model, seeds))
+        // Each takes processor time of an entry and an agent, which the simulation leaves out.
+        println("%.2f dispatches a job".format(traffic.dispatches.toDouble() / jobs.size.coerceAtLeast(1)))
         println(JobsRow.HEADER)
         rows.forEach { println(it.summary()) }
         out?.let { Files.writeString(Path.of(it), ReportJson.encodeToString(ListSerializer(JobsRow.serializer()), rows)) }
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/Job.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/Job.kt
@@ -79,6 +79,12 @@
     val dueAt = arrivedAt + request.objective
     val isDone get() = tasks.all { it.state == TaskState.Done }
 
+    /** True if a task waits to be sent to an agent. */
+    val hasWaitingTasks get() = tasks.any { it.state == TaskState.Waiting }
+
+    /** True while no task of the job is at an agent, may be running or is done. */
+    val isHeld get() = tasks.all { it.state == TaskState.Waiting }
+
     /** True while a task of the job may be running. */
     val mayStillRun get() = tasks.any { it.state is TaskState.AtAgent || it.state is TaskState.Lost }
 
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/JobRequest.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/JobRequest.kt
@@ -24,6 +24,9 @@
                 ends.apply { add((step.dependsOn.maxOfOrNull { this[it] } ?: Duration.ZERO) + step.estimate) }
             }.maxOrNull() ?: Duration.ZERO
 
+    /** Estimated processor time of all tasks (core-microseconds). */
+    val cpuMicros: Long = steps.sumOf { it.cpuMicros * it.count }
+
     /** Response time after which an answer is late. */
     val objective: Duration = criticalPath * queue.stretch + queue.allowanceMillis.milliseconds
 }
@@ -39,7 +42,10 @@
     val memoryMb: Int,
     val estimate: Duration,
     val dependsOn: List<Int> = emptyList(),
-)
+) {
+    /** Estimated processor time of one task (core-microseconds). */
+    val cpuMicros: Long = milliCpu * estimate.inWholeMilliseconds
+}
 
 /** The answer to the caller of a job. */
 sealed interface JobAnswer {
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/JobScheduler.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/JobScheduler.kt
@@ -11,6 +11,8 @@
 import io.bluebellramp.placement.AgentCapacity
 import io.bluebellramp.placement.AgentSelector
 import io.bluebellramp.placement.JobAdmission
+import io.bluebellramp.placement.ShortagePolicy
+import io.bluebellramp.placement.WaitingJob
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -33,6 +35,7 @@
 ) {
     private val selector = AgentSelector(random)
     private val admission = JobAdmission()
+    private val shortage = ShortagePolicy()
     private val jobs = LinkedHashMap<JobId, Job>()
     private val trackers = HashMap<LinkId, AgentCapacityTracker>()
     private var zonesOut: Set<ZoneId> = emptySet()
@@ -186,8 +189,11 @@
                 if (state is TaskState.Lost && state.until <= now) task.state = TaskState.Waiting
             }
             if (job.endCause == null && now >= job.deadline) end(job, EndCause.Aborted("the caller's deadline has passed", SHORT_RETRY))
-            advance(job)
+            advanceIfOver(job)
         }
+        val capacities = CapacityView(now)
+        val waiting = jobs.values.filter { it.endCause == null && it.hasWaitingTasks }.map { waitingJob(it, now) }
+        shortage.inPlacementOrder(waiting).forEach { placeWaitingTasks(it.job, capacities) }
     }
 
     private fun admit(
@@ -197,14 +203,24 @@
         val now = clock.monotonic()
         val job = Job(request, now)
         job.callers += caller
-        val candidates = candidates(job, now)
-        val refusal = refusal(job, candidates)
+        val capacities = CapacityView(now)
+        val refusal = refusal(job, capacities.candidates(job))
         if (refusal != null) {
-            recordDecision("refused", job, "reason" to refusal.reason, "wait" to refusal.retryAfter, "agents" to trackers.size)
+            recordDecision(
+                "refused",
+                job,
+                "reason" to refusal.reason,
+                "priority" to request.queue.priority,
+                "slack" to request.objective - request.criticalPath,
+                "cpu_micros" to request.cpuMicros,
+                "wait" to refusal.retryAfter,
+                "agents" to trackers.size,
+            )
             return caller.answer(refusal)
         }
         jobs[request.id] = job
-        placeWaitingTasks(job, candidates)
+        shortage.admitted(request.queue.priority, request.cpuMicros, now)
+        placeWaitingTasks(job, capacities)
     }
 
     private fun refusal(
@@ -222,7 +238,16 @@
             firstWait = maxOf(firstWait, expectedDelays.min())
             lastWait = maxOf(lastWait, expectedDelays.max())
         }
-        return when (val decision = admission.decide(firstWait, slack = request.objective - request.criticalPath, lastWait)) {
+        val slack = request.objective - request.criticalPath
+        val priority = request.queue.priority
+        val decision =
+            admission.decide(
+                firstWait = shortage.expectedWait(firstWait, priority, job.arrivedAt),
+                slack = slack,
+                lastWait = shortage.expectedWait(lastWait, priority, job.arrivedAt),
+                isContended = shortage.isContended(job.arrivedAt),
+            )
+        return when (decision) {
             AdmissionDecision.Admit -> null
             is AdmissionDecision.Refuse -> JobAnswer.NotRun("no room in time", decision.retryAfter)
         }
@@ -238,16 +263,37 @@
                 it.failedRunTime
         }
 
-    private fun candidates(
+    /** The agents' capacity at [now], computed once for each queue and again only for agents that were sent tasks since. */
+    private inner class CapacityView(
+        val now: Duration,
+    ) {
+        private val capacitiesByQueue = HashMap<String, HashMap<LinkId, AgentCapacity<LinkId>>>()
+
+        fun candidates(job: Job): List<AgentCapacity<LinkId>> {
+            val queue = job.request.queue
+            val capacities = capacitiesByQueue.getOrPut(queue.name) { HashMap() }
+            return trackers.entries
+                .filter { it.value.acceptsTasksOf(queue.service, zonesOut) }
+                .map { (link, tracker) -> capacities.getOrPut(link) { tracker.capacityFor(now, queue.name) } }
+        }
+
+        fun tasksSent(link: LinkId) = capacitiesByQueue.values.forEach { it -= link }
+    }
+
+    private fun waitingJob(
         job: Job,
         now: Duration,
-    ) = trackers.values
-        .filter {
-            it.acceptsTasksOf(
-                job.request.queue.service,
-                zonesOut,
-            )
-        }.map { it.capacityFor(now, job.request.queue.name) }
+    ): WaitingJob<Job> {
+        val ready = job.waitingTasks().filterKeys { job.isReady(it) }
+        return WaitingJob(
+            job = job,
+            priority = job.request.queue.priority,
+            slack = (ready.keys.minOfOrNull { latestStart(job, job.request.steps[it]) } ?: job.dueAt) - now,
+            cpuMicros = ready.entries.sumOf { (step, tasks) -> job.request.steps[step].cpuMicros * tasks.size },
+            hasStarted = job.hasStarted,
+            isHeld = job.isHeld,
+        )
+    }
 
     /**
      * Returns the agents that can run a task of [step]. Agents with an outdated report may be cut off and are returned only if there are no
@@ -259,37 +305,74 @@
     }
 
     private fun advance(job: Job) {
-        if (job.endCause != null) return closeIfEnded(job)
-        if (job.isDone) return closeAndAnswer(job, JobAnswer.Completed)
-        placeWaitingTasks(job)
+        if (!advanceIfOver(job)) placeWaitingTasks(job, CapacityView(clock.monotonic()))
     }
 
-    /**
-     * Sends each waiting task whose step is ready to an agent.
-     *
-     * @param admitted agents with which the job was just admitted, or null to look them up
-     */
+    /** Closes [job] if it has ended. Returns false if it goes on. */
+    private fun advanceIfOver(job: Job): Boolean {
+        when {
+            job.endCause != null -> closeIfEnded(job)
+            job.isDone -> closeAndAnswer(job, JobAnswer.Completed)
+            else -> return false
+        }
+        return true
+    }
+
+    /** Sends each waiting task whose step is ready to an agent, or ends the job if it cannot meet its objective any more. */
     private fun placeWaitingTasks(
         job: Job,
-        admitted: List<AgentCapacity<LinkId>>? = null,
+        capacities: CapacityView,
     ) {
-        if (job.tasks.none { it.state == TaskState.Waiting }) return
-        val now = clock.monotonic()
+        // A job may have ended since it was listed.
+        if (job.endCause != null || !job.hasWaitingTasks) return
+        val now = capacities.now
         val ready = job.waitingTasks().filterKeys { job.isReady(it) }
         // No step is placed if another one comes too late: its tasks would start only to be stopped.
         val isTooLate = ready.keys.any { now > latestStart(job, job.request.steps[it]) }
         if (isTooLate) return end(job, EndCause.Aborted("no room in time", SHORT_RETRY))
-        // What is placed for one step changes the agents' capacity for the next.
-        var known = admitted
+        if (turnAwayIfTooLate(job, ready.keys, capacities)) return
         for ((step, waiting) in ready) {
             val body = job.request.steps[step]
-            val latestStart = latestStart(job, body)
-            val tasksByLink = chooseAgents(body, waiting, known ?: candidates(job, now), latestStart - now)
-            known = null
-            tasksByLink.forEach { (link, tasks) -> dispatchTasks(job, link, step, tasks, minOf(latestStart - now, MAX_WAIT_AT_AGENT)) }
+            val slack = latestStart(job, body) - now
+            val tasksByLink = chooseAgents(body, waiting, capacities.candidates(job), slack)
+            tasksByLink.forEach { (link, tasks) ->
+                dispatchTasks(job, link, step, tasks, longestWaitAtAgent(slack))
+                capacities.tasksSent(link)
+            }
         }
     }
 
+    /** Ends a held job that has to expect to miss its objective. Returns whether it did. */
+    private fun turnAwayIfTooLate(
+        job: Job,
+        steps: Set<Int>,
+        capacities: CapacityView,
+    ): Boolean {
+        if (!job.isHeld || job.hasStarted || job.arrivedAt == capacities.now) return false
+        val waits = steps.mapNotNull { firstWait(capacities.candidates(job), job.request.steps[it]) }
+        val wait = waits.maxOrNull() ?: return false
+        val waiting = waitingJob(job, capacities.now)
+        if (!shortage.turnsAway(waiting, wait, capacities.now)) return false
+        recordDecision(
+            "turned_away",
+            job,
+            "priority" to waiting.priority,
+            "slack" to waiting.slack,
+            "wait" to wait,
+            "cpu_micros" to waiting.cpuMicros,
+        )
+        end(job, EndCause.Aborted("no room in time", SHORT_RETRY))
+        return true
+    }
+
+    /** Returns the expected wait of the first task of [step], or null if no agent can run it. */
+    private fun firstWait(
+        candidates: List<AgentCapacity<LinkId>>,
+        step: StepRequest,
+    ): Duration? = candidates.largeEnoughFor(step).minOfOrNull { it.expectedWait(step.milliCpu, step.memoryMb) }
+
+    private fun longestWaitAtAgent(slack: Duration) = minOf(slack, maxOf(MIN_WAIT_AT_AGENT, slack * WAIT_AT_AGENT_SLACK_SHARE))
+
     /** Returns the latest useful start. A job of which nothing has started must meet its objective; a started job may finish late. */
     private fun latestStart(
         job: Job,
@@ -476,10 +559,13 @@
         const val MAX_LATENESS_FACTOR = 3
 
         /**
-         * Longest time that a task waits at one agent before it is placed again by newer reports. Short compared with the slack of a short
-         * job, long compared with the age of a report.
+         * Time that a task waits at one agent before it is placed again by newer reports, if its slack allows. Short compared with the slack
+         * of a short job, long compared with the age of a report.
          */
-        val MAX_WAIT_AT_AGENT = 70.milliseconds
+        val MIN_WAIT_AT_AGENT = 70.milliseconds
+
+        /** A job with more slack waits longer: each placement costs processor time of both processes and a place in a queue. */
+        const val WAIT_AT_AGENT_SLACK_SHARE = 0.25
 
         /** Reports arrive or are confirmed at least every 120 ms; the margin allows for processes short of processor time. */
         val MAX_REPORT_AGE = 180.milliseconds
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/JobSchedulerTest.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/JobSchedulerTest.kt
@@ -2,6 +2,7 @@
 
 import io.bluebellramp.core.JobId
 import io.bluebellramp.core.ZoneId
+import io.bluebellramp.messages.QueueWork
 import io.bluebellramp.messages.StepDispatch
 import io.bluebellramp.messages.TaskEvent
 import io.bluebellramp.messages.TaskReport
@@ -245,6 +246,67 @@
         }
     }
 
+    @Nested
+    inner class CompetingPriorities {
+        private val long = QUEUE.copy(name = "long", priority = 2)
+        private val longAnswers = ArrayList<JobAnswer>()
+
+        private fun submitLong(id: String) =
+            scheduler.submit(request(id = id, estimate = 400.milliseconds, queue = long)) { longAnswers += it }
+
+        @Test
+        fun `a held job is turned away once more urgent work takes its time, before its latest start has passed`() {
+            connectAgents(firstLink)
+            submitLong("00000000000000b1")
+            scheduler.submit(request(), caller)
+            val dispatch = outputs.dispatches.first().second
+            clock.advance(10.milliseconds)
+            val waiting = listOf(QueueWork(QUEUE.name, 32_000L * 300), QueueWork(long.name, 0))
+            scheduler.capacityReported(firstLink, capacityReport(freeMilliCpu = 0, received = 9).copy(waiting = waiting))
+            report(firstLink, dispatch, TaskEvent.NOT_STARTED)
+            assertIs<JobAnswer.NotRun>(longAnswers.single())
+            assertTrue("turned_away" in outputs.decisions.map { it.kind })
+            assertEquals(emptyList(), answers)
+        }
+
+        @Test
+        fun `of two held jobs the more urgent is placed first once there is room again`() {
+            connectAgents(firstLink)
+            submitLong("00000000000000b1")
+            scheduler.submit(request(), caller)
+            val dispatches = outputs.dispatches.map { it.second }
+            // The agent is lost from view, so that both jobs are held.
+            scheduler.capacityReported(firstLink, capacityReport(accepting = false, received = 9))
+            dispatches.forEach { report(firstLink, it, TaskEvent.NOT_STARTED) }
+            outputs.dispatches.clear()
+            scheduler.capacityReported(firstLink, capacityReport(received = 9))
+            scheduler.tick()
+            assertEquals(listOf(QUEUE.name, long.name), outputs.dispatches.map { it.second.queue })
+        }
+
+        @Test
+        fun `a job with much slack waits longer at an agent than one with little`() {
+            connectAgents(firstLink)
+            submitLong("00000000000000b1")
+            scheduler.submit(request(), caller)
+            assertEquals(listOf(75L, 70L), outputs.dispatches.map { it.second.startWithinMillis })
+        }
+
+        @Test
+        fun `a job whose agent is lost at the peak is not answered as not run`() {
+            connectAgents(firstLink, secondLink)
+            submitLong("00000000000000b1")
+            scheduler.submit(request(), caller)
+            outputs.dispatches
+                .map { it.first }
+                .distinct()
+                .forEach { scheduler.linkDown(it, clock.monotonic()) }
+            clock.advance(2.seconds)
+            scheduler.tick()
+            assertIs<JobAnswer.Unfinished>(longAnswers.single())
+        }
+    }
+
     @Nested
     inner class SingleRunPerTask {
         @Test
--- a/placement/src/main/kotlin/io/bluebellramp/placement/JobAdmission.kt
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/JobAdmission.kt
@@ -26,14 +26,17 @@
      * @param firstWait expected wait of the first task
      * @param lastWait expected wait of the last task, if all are placed now
      * @param slack time that the tasks may wait without missing the objective
+     * @param isContended whether jobs of several priorities compete for the capacity
      */
     fun decide(
         firstWait: Duration,
         slack: Duration,
         lastWait: Duration = firstWait,
+        isContended: Boolean = false,
     ): AdmissionDecision {
         val isFirstInTime = firstWait <= Duration.ZERO || firstWait <= slack * FIRST_WAIT_SLACK_SHARE
-        if (isFirstInTime && lastWait <= slack * LAST_WAIT_SLACK_SHARE) return AdmissionDecision.Admit
+        val lastWaitShare = if (isContended) CONTENDED_LAST_WAIT_SLACK_SHARE else LAST_WAIT_SLACK_SHARE
+        if (isFirstInTime && lastWait <= slack * lastWaitShare) return AdmissionDecision.Admit
         val expectedWait = maxOf(firstWait, lastWait)
         return AdmissionDecision.Refuse(
             retryAfter = (expectedWait - slack).coerceIn(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
@@ -48,6 +51,9 @@
         /** The same for the last task. Expected waits are off by half, so a strict limit would refuse too many wide jobs. */
         const val LAST_WAIT_SLACK_SHARE = 2.0
 
+        /** The same while priorities compete: a job that ends late has then also delayed others. */
+        const val CONTENDED_LAST_WAIT_SLACK_SHARE = 1.0
+
         val MIN_RETRY_AFTER = 200.milliseconds
         val MAX_RETRY_AFTER = 3.seconds
     }
--- a/placement/src/test/kotlin/io/bluebellramp/placement/CapacityPoliciesTest.kt
+++ b/placement/src/test/kotlin/io/bluebellramp/placement/CapacityPoliciesTest.kt
@@ -112,6 +112,13 @@
             assertEquals(AdmissionDecision.Admit, admission.decide(Duration.ZERO, slack, lastWait = 150.milliseconds))
         }
 
+        @Test
+        fun `while priorities compete, a job whose last task is expected after its slack is refused`() {
+            val slack = 100.milliseconds
+            assertIs<AdmissionDecision.Refuse>(admission.decide(Duration.ZERO, slack, lastWait = 150.milliseconds, isContended = true))
+            assertEquals(AdmissionDecision.Admit, admission.decide(Duration.ZERO, slack, lastWait = 90.milliseconds, isContended = true))
+        }
+
         @Test
         fun `a job whose wait exceeds its slack is refused with a time to retry`() {
             val decision = assertIs<AdmissionDecision.Refuse>(admission.decide(900.milliseconds, slack = 100.milliseconds))
