Choose free targets that end a task in time where kinds of target differ in speed

Cause: expected ends within a factor of 1.7 count as equal. Kinds of target with speeds 0.7 and 1.7 differ by 2.4, so tasks wait for full fast targets, or are refused, while slow targets are free on which the job would meet its objective.

Change: targets announce their kind; agents name it in the capacity report (new field with a default). Each entry keeps the median ratio of run time to estimate of the agents of each kind. While two kinds differ by more than the factor within which ends count as equal, agents that can start the task now and end it within the objective are chosen first, the nearly fastest of them as before. Otherwise the selection has the same inputs and random draws as before.

--- a/bench/src/main/kotlin/io/bluebellramp/bench/jobs/SimulatedSystem.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/jobs/SimulatedSystem.kt
@@ -198,7 +198,17 @@
             if (disturbances.any { it.kind == Disturbance.Kind.CRASHED && it.isActive(time.now) }) return
             val kind = site.targets[number]
             runManager.targetAnnounced(
-                TargetDescription(target.id, incarnation, ++sequence, SERVICE, false, kind.milliCpu, kind.memoryMb, "10.0.0.1:1"),
+                TargetDescription(
+                    target.id,
+                    incarnation,
+                    ++sequence,
+                    SERVICE,
+                    false,
+                    kind.milliCpu,
+                    kind.memoryMb,
+                    "10.0.0.1:1",
+                    kind.name,
+                ),
             )
         }
 
--- a/bench/src/main/kotlin/io/bluebellramp/bench/jobs/SiteFile.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/jobs/SiteFile.kt
@@ -95,12 +95,14 @@
         val node = service.table("node")
         val speeds = service.numbers("speeds").ifEmpty { listOf(1.0) }
         val sizes = node.numbers("sizes").ifEmpty { listOf(1.0) }
+        val names = node.texts("kinds").ifEmpty { listOf("") }
         return machines(site, "side").mapIndexed { it, zone ->
             TargetKind(
                 zone = zone,
                 milliCpu = (node.number("cpu", 0.0) * sizes[it % sizes.size]).toInt(),
                 memoryMb = (node.number("mem_mb", 0.0) * sizes[it % sizes.size]).toInt(),
                 speed = speeds[it % speeds.size],
+                name = names[it % names.size],
             )
         }
     }
@@ -153,6 +155,8 @@
             .filterIsInstance<Number>()
             .map { it.toDouble() }
 
+    private fun TomlTable.texts(key: String) = getArray(key)?.asList().orEmpty().filterIsInstance<String>()
+
     private fun TomlArray.asList() = toList()
 
     /** Default share of the targets that a disturbance affects. */
--- a/bench/src/main/kotlin/io/bluebellramp/bench/jobs/SiteModel.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/jobs/SiteModel.kt
@@ -75,12 +75,13 @@
     fun isActive(now: Duration) = now >= at && now < at + duration
 }
 
-/** Size, speed and place of a target. */
+/** Size, speed and place of a target. [name] is the kind that it announces. */
 internal data class TargetKind(
     val zone: ZoneId,
     val milliCpu: Int,
     val memoryMb: Int,
     val speed: Double,
+    val name: String = "",
 )
 
 /** Deployment and one of its days, as the simulation runs it. [entries] are the zones of the entries. */
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/JobOutputs.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/JobOutputs.kt
@@ -38,4 +38,9 @@
     val kind: String,
     val job: JobId,
     val details: Map<String, Any>,
-)
+) {
+    companion object {
+        /** Stands for the job where a decision is about none. */
+        val NO_JOB = JobId("")
+    }
+}
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/JobScheduler.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/JobScheduler.kt
@@ -11,6 +11,8 @@
 import io.bluebellramp.placement.AgentCapacity
 import io.bluebellramp.placement.AgentSelector
 import io.bluebellramp.placement.JobAdmission
+import io.bluebellramp.placement.KindSpeeds
+import kotlin.math.abs
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -36,6 +38,9 @@
     private val jobs = LinkedHashMap<JobId, Job>()
     private val trackers = HashMap<LinkId, AgentCapacityTracker>()
     private var zonesOut: Set<ZoneId> = emptySet()
+    private val kindSpeeds = KindSpeeds<LinkId>()
+    private var speedsUpdatedAt = clock.monotonic()
+    private var loggedSlowness: Map<String, Double> = emptyMap()
 
     /** Number of jobs that wait for an answer or for the end of their tasks. */
     val openJobs: Int get() = jobs.size
@@ -111,6 +116,7 @@
         lastReceivedAt: Duration,
     ) {
         trackers.remove(link) ?: return
+        kindSpeeds.gone(link)
         val until = maxOf(lastReceivedAt, clock.monotonic() - lostLinkRunTimeout) + lostLinkRunTimeout
         for (job in jobs.values) {
             for (task in job.tasks) {
@@ -128,7 +134,9 @@
         link: LinkId,
         report: RoomReport,
     ) {
-        trackers[link]?.update(report, clock.monotonic())
+        val tracker = trackers[link] ?: return
+        tracker.update(report, clock.monotonic())
+        kindSpeeds.reported(link, report.kind, report.slowness)
     }
 
     /** Records that the last capacity report of the agent at [link] still holds. */
@@ -180,6 +188,7 @@
     /** Handles everything that is due by now. Must be called every few milliseconds. */
     fun tick() {
         val now = clock.monotonic()
+        if (now - speedsUpdatedAt >= SPEEDS_INTERVAL) updateSpeeds(now)
         for (job in jobs.values.toList()) {
             for (task in job.tasks) {
                 val state = task.state
@@ -190,6 +199,20 @@
         }
     }
 
+    private fun updateSpeeds(now: Duration) {
+        val differed = kindSpeeds.differ
+        speedsUpdatedAt = now
+        kindSpeeds.update()
+        val slowness = kindSpeeds.slowness
+        val isNews = slowness.any { (kind, ratio) -> abs(ratio / (loggedSlowness[kind] ?: 1.0) - 1) > LOGGED_SPEED_CHANGE }
+        if (!isNews && kindSpeeds.differ == differed) return
+        loggedSlowness = slowness
+        outputs.onDecision(JobDecision("target_speeds", JobDecision.NO_JOB, mapOf("slowness" to slowness, "differ" to kindSpeeds.differ)))
+    }
+
+    /** Returns the time left for a task if targets differ in speed so much that the choice must consider it, or null. */
+    private fun limitBySpeed(timeLeft: Duration): Duration? = timeLeft.takeIf { kindSpeeds.differ }
+
     private fun admit(
         request: JobRequest,
         caller: Caller,
@@ -218,7 +241,8 @@
         for (step in request.steps) {
             val fitting = candidates.largeEnoughFor(step)
             if (fitting.isEmpty()) return JobAnswer.NotRun("no target is large enough", LONG_RETRY)
-            val expectedDelays = expectedDelays(fitting, step)
+            val timeLeft = limitBySpeed(request.objective - request.criticalPath + step.estimate)
+            val expectedDelays = expectedDelays(fitting, step, timeLeft)
             firstWait = maxOf(firstWait, expectedDelays.min())
             lastWait = maxOf(lastWait, expectedDelays.max())
         }
@@ -232,8 +256,9 @@
     private fun expectedDelays(
         candidates: List<AgentCapacity<LinkId>>,
         step: StepRequest,
+        timeLeft: Duration?,
     ): List<Duration> =
-        selector.selectForTasks(candidates, step.milliCpu, step.memoryMb, step.estimate, step.count).filterNotNull().map {
+        selector.selectForTasks(candidates, step.milliCpu, step.memoryMb, step.estimate, step.count, timeLeft).filterNotNull().map {
             it.wait +
                 it.failedRunTime
         }
@@ -284,7 +309,7 @@
         for ((step, waiting) in ready) {
             val body = job.request.steps[step]
             val latestStart = latestStart(job, body)
-            val tasksByLink = chooseAgents(body, waiting, known ?: candidates(job, now), latestStart - now)
+            val tasksByLink = chooseAgents(body, waiting, known ?: candidates(job, now), latestStart - now, limitBySpeed(job.dueAt - now))
             known = null
             tasksByLink.forEach { (link, tasks) -> dispatchTasks(job, link, step, tasks, minOf(latestStart - now, MAX_WAIT_AT_AGENT)) }
         }
@@ -305,6 +330,7 @@
         waiting: List<JobTask>,
         candidates: List<AgentCapacity<LinkId>>,
         longestWait: Duration,
+        timeLeft: Duration?,
     ): Map<LinkId, List<JobTask>> {
         val tasksByLink = LinkedHashMap<LinkId, ArrayList<JobTask>>()
         val choices =
@@ -314,6 +340,7 @@
                 step.memoryMb,
                 step.estimate,
                 waiting.size,
+                timeLeft,
             ) { task, link -> link in waiting[task].avoidedLinks }
         for ((task, choice) in waiting.zip(choices)) {
             if (choice == null || choice.wait > longestWait) continue
@@ -486,6 +513,10 @@
 
         /** Minimum time to find capacity for a job whose estimate exceeds its objective. */
         val MIN_START_WINDOW = 50.milliseconds
+
+        /** Agents learn the ratios over some hundred runs, so a second is short. */
+        val SPEEDS_INTERVAL = 1.seconds
+        const val LOGGED_SPEED_CHANGE = 0.1
         val SHORT_RETRY = 1.seconds
         val LONG_RETRY = 5.seconds
     }
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/RunManager.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/RunManager.kt
@@ -108,6 +108,7 @@
         val now = clock.monotonic()
         return RoomReport(
             service = current.service,
+            kind = current.kind,
             accepting = closedReason == null,
             milliCpu = current.milliCpu,
             memoryMb = current.memoryMb,
@@ -571,7 +572,7 @@
         vararg details: Pair<String, Any>,
     ) {
         val task = run?.let { mapOf("task" to "${it.task.step}.${it.task.index}", "run" to it.number, "state" to it.state) }.orEmpty()
-        outputs.onDecision(JobDecision(kind, run?.task?.job ?: NO_JOB, task + details))
+        outputs.onDecision(JobDecision(kind, run?.task?.job ?: JobDecision.NO_JOB, task + details))
     }
 
     private companion object {
@@ -586,7 +587,6 @@
         /** Number of retries of an order to start after refusals that the agent can correct. */
         const val MAX_START_RETRIES = 5
         const val FENCE_STEP = 1000L
-        val NO_JOB = JobId("")
         const val NO_CAPACITY = "no room in time"
         const val TARGET_RESTARTED = "the target started again"
     }
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/TargetPort.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/TargetPort.kt
@@ -23,6 +23,7 @@
  *
  * @property life identifies one life of the target, from start to end; a greater number is newer
  * @property sequence rises with each announcement within one life
+ * @property kind kind of VM that the target runs on; empty if it is not known
  */
 data class TargetDescription(
     val id: TargetId,
@@ -33,6 +34,7 @@
     val milliCpu: Int,
     val memoryMb: Int,
     val address: String,
+    val kind: String = "",
 )
 
 /** How a run ended. */
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/JobSchedulerTest.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/JobSchedulerTest.kt
@@ -40,6 +40,37 @@
         reason: String = "",
     ) = scheduler.report(link, TaskReport(dispatch.job, dispatch.step, task, dispatch.attempt, event, reason))
 
+    /** Slow targets are free; fast ones are full, but would end the task earlier. */
+    @Nested
+    inner class UnevenTargets {
+        private fun submitWithReports(isKindNamed: Boolean): LinkId {
+            for (number in 1L..8L) {
+                val isSlow = number <= 4
+                scheduler.linkUp(LinkId(number), "agent-$number", ZoneId("z"))
+                val report = if (isSlow) capacityReport() else capacityReport(freeMilliCpu = 0)
+                val kind = if (isSlow) "a" else "b"
+                scheduler.capacityReported(
+                    LinkId(number),
+                    report.copy(slowness = if (isSlow) 1.43 else 0.59, kind = if (isKindNamed) kind else ""),
+                )
+            }
+            clock.advance(1.seconds)
+            scheduler.tick()
+            scheduler.submit(request(), caller)
+            return outputs.dispatches.single().first
+        }
+
+        @Test
+        fun `a free target where the job meets its objective is preferred if kinds differ in speed`() {
+            assertTrue(submitWithReports(isKindNamed = true).value <= 4)
+        }
+
+        @Test
+        fun `agents that name no kind are chosen by the expected end`() {
+            assertTrue(submitWithReports(isKindNamed = false).value > 4)
+        }
+    }
+
     @Nested
     inner class NormalOperation {
         @Test
--- a/messages/src/main/kotlin/io/bluebellramp/messages/RoomReport.kt
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/RoomReport.kt
@@ -9,6 +9,8 @@
     /** True if new tasks may start. */
     val accepting: Boolean,
     val service: ServiceId? = null,
+    /** Kind of the target; empty if it is not known. */
+    val kind: String = "",
     /** CPU capacity (thousandths of a core). */
     val milliCpu: Int = 0,
     /** Memory capacity (MB). */
--- a/placement/src/main/kotlin/io/bluebellramp/placement/AgentSelector.kt
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/AgentSelector.kt
@@ -10,6 +10,9 @@
  * Several entries place tasks at the same time. If each chose the agent with the most free capacity, all would overload that agent, so
  * the choice among agents with a similar expected end is random, weighted by free capacity. The expected end includes slow and failed
  * runs, so an agent that is free only because its tasks fail is not preferred to a wait elsewhere.
+ *
+ * Where targets differ in speed by more than that, the fast ones would fill up and gather waiting tasks while slow ones are free on which the
+ * tasks would still end in time. With a time limit, agents that can start a task now and end it in time are therefore chosen first.
  */
 class AgentSelector(
     private val random: Random,
@@ -32,6 +35,7 @@
      * Chooses an agent for each of [count] tasks with the same needs. Each choice takes the earlier ones into account. The result is null
      * for a task that none of [agents] can run.
      *
+     * @param timeLeft time until the tasks must have ended, or null to choose by the expected end alone
      * @param avoids whether the task with this index should avoid an agent; it is sent there only if no other can run it
      */
     fun <A> selectForTasks(
@@ -40,13 +44,14 @@
         memoryMb: Int,
         estimate: Duration,
         count: Int,
+        timeLeft: Duration? = null,
         avoids: (Int, A) -> Boolean = { _, _ -> false },
     ): List<Choice<A>?> {
         val needs = Needs(milliCpu, memoryMb, estimate)
         val candidates = agents.filter { it.canFit(milliCpu) }.map { Candidate(it, needs) }
         return List(count) { task ->
             val preferred = candidates.filterNotTo(ArrayList(candidates.size)) { avoids(task, it.capacity.agent) }
-            val chosen = select(preferred.ifEmpty { candidates })
+            val chosen = select(inTime(preferred.ifEmpty { candidates }, timeLeft))
             chosen?.choice.also { chosen?.addTask() }
         }
     }
@@ -59,6 +64,15 @@
         estimate: Duration,
     ): Choice<A>? = selectForTasks(agents, milliCpu, memoryMb, estimate, count = 1).single()
 
+    /** Returns the [candidates] that can start a task now and end it within [timeLeft], or all if there are none. */
+    private fun <A> inTime(
+        candidates: List<Candidate<A>>,
+        timeLeft: Duration?,
+    ): List<Candidate<A>> {
+        if (timeLeft == null) return candidates
+        return candidates.filter { it.choice.wait <= Duration.ZERO && it.expectedEnd <= timeLeft }.ifEmpty { candidates }
+    }
+
     private fun <A> select(candidates: List<Candidate<A>>): Candidate<A>? {
         if (candidates.isEmpty()) return null
         val latestEnd = candidates.minOf { it.expectedEnd } * NEAR_BEST_FACTOR + NEAR_BEST_MARGIN
@@ -105,15 +119,15 @@
             )
     }
 
-    private companion object {
+    internal companion object {
         /**
          * Expected ends within this factor of the best count as equally good. Target types and estimates differ by about as much; with a
          * smaller factor all entries would send to the few agents that seem best until those are full.
          */
         const val NEAR_BEST_FACTOR = 1.7
-        val NEAR_BEST_MARGIN = 8.milliseconds
+        private val NEAR_BEST_MARGIN = 8.milliseconds
 
         /** Weight of an agent without free capacity. */
-        const val MIN_WEIGHT_MILLI_CPU = 500
+        private const val MIN_WEIGHT_MILLI_CPU = 500
     }
 }
