--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/JobScheduler.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/JobScheduler.kt
@@ -11,8 +11,10 @@
 import io.bluebellramp.placement.AgentCapacity
 import io.bluebellramp.placement.AgentSelector
 import io.bluebellramp.placement.JobAdmission
+import io.bluebellramp.placement.KindSpeeds
 import io.bluebellramp.placement.ShortagePolicy
 import io.bluebellramp.placement.WaitingJob
+import kotlin.math.abs
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -39,6 +41,9 @@
     private val jobs = LinkedHashMap<JobId, Job>()
     private val trackers = HashMap<LinkId, AgentCapacityTracker>()
     private var zonesOut: Set<ZoneId> = emptySet()
+    private val kindSpeeds = KindSpeeds<LinkId>()
+    private var speedsUpdatedAt = clock.monotonic()
+    private var loggedSlowness: Map<String, Double> = emptyMap()
 
     /** Number of jobs that wait for an answer or for the end of their tasks. */
     val openJobs: Int get() = jobs.size
@@ -121,6 +126,7 @@
         lastReceivedAt: Duration,
     ) {
         trackers.remove(link) ?: return
+        kindSpeeds.gone(link)
         val until = maxOf(lastReceivedAt, clock.monotonic() - lostLinkRunTimeout) + lostLinkRunTimeout
         for (job in jobs.values) {
             for (task in job.tasks) {
@@ -138,7 +144,9 @@
         link: LinkId,
         report: RoomReport,
     ) {
-        trackers[link]?.update(report, clock.monotonic())
+        val tracker = trackers[link] ?: return
+        tracker.update(report, clock.monotonic())
+        kindSpeeds.reported(link, report.kind, report.slowness)
     }
 
     /** Records that the last capacity report of the agent at [link] still holds. */
@@ -190,6 +198,7 @@
     /** Handles everything that is due by now. Must be called every few milliseconds. */
     fun tick() {
         val now = clock.monotonic()
+        if (now - speedsUpdatedAt >= SPEEDS_INTERVAL) updateSpeeds(now)
         for (job in jobs.values.toList()) {
             for (task in job.tasks) {
                 val state = task.state
@@ -204,6 +213,20 @@
         shortage.inPlacementOrder(waiting).forEach { placeWaitingTasks(it.job, capacities) }
     }
 
+    private fun updateSpeeds(now: Duration) {
+        val differed = kindSpeeds.differ
+        speedsUpdatedAt = now
+        kindSpeeds.update()
+        val slowness = kindSpeeds.slowness
+        val isNews = slowness.any { (kind, ratio) -> abs(ratio / (loggedSlowness[kind] ?: 1.0) - 1) > LOGGED_SPEED_CHANGE }
+        if (!isNews && kindSpeeds.differ == differed) return
+        loggedSlowness = slowness
+        outputs.onDecision(JobDecision("target_speeds", JobDecision.NO_JOB, mapOf("slowness" to slowness, "differ" to kindSpeeds.differ)))
+    }
+
+    /** Returns the time left for a task if targets differ in speed so much that the choice must consider it, or null. */
+    private fun limitBySpeed(timeLeft: Duration): Duration? = timeLeft.takeIf { kindSpeeds.differ }
+
     private fun admit(
         request: JobRequest,
         caller: Caller,
@@ -243,7 +266,8 @@
         for (step in request.steps) {
             val fitting = candidates.largeEnoughFor(step)
             if (fitting.isEmpty()) return JobAnswer.NotRun("no target is large enough", LONG_RETRY)
-            val expectedDelays = expectedDelays(fitting, step)
+            val timeLeft = limitBySpeed(request.objective - request.criticalPath + step.estimate)
+            val expectedDelays = expectedDelays(fitting, step, timeLeft)
             firstWait = maxOf(firstWait, expectedDelays.min())
             lastWait = maxOf(lastWait, expectedDelays.max())
         }
@@ -266,8 +290,9 @@
     private fun expectedDelays(
         candidates: List<AgentCapacity<LinkId>>,
         step: StepRequest,
+        timeLeft: Duration?,
     ): List<Duration> =
-        selector.selectForTasks(candidates, step.milliCpu, step.memoryMb, step.estimate, step.count).filterNotNull().map {
+        selector.selectForTasks(candidates, step.milliCpu, step.memoryMb, step.estimate, step.count, timeLeft).filterNotNull().map {
             it.wait +
                 it.failedRunTime
         }
@@ -343,7 +368,7 @@
         for ((step, waiting) in ready) {
             val body = job.request.steps[step]
             val slack = latestStart(job, body) - now
-            val tasksByLink = chooseAgents(body, waiting, capacities.candidates(job), slack)
+            val tasksByLink = chooseAgents(body, waiting, capacities.candidates(job), slack, limitBySpeed(job.dueAt - now))
             tasksByLink.forEach { (link, tasks) ->
                 dispatchTasks(job, link, step, tasks, longestWaitAtAgent(slack))
                 capacities.tasksSent(link)
@@ -397,6 +422,7 @@
         waiting: List<JobTask>,
         candidates: List<AgentCapacity<LinkId>>,
         longestWait: Duration,
+        timeLeft: Duration?,
     ): Map<LinkId, List<JobTask>> {
         val tasksByLink = LinkedHashMap<LinkId, ArrayList<JobTask>>()
         val choices =
@@ -406,6 +432,7 @@
                 step.memoryMb,
                 step.estimate,
                 waiting.size,
+                timeLeft,
             ) { task, link -> link in waiting[task].avoidedLinks }
         for ((task, choice) in waiting.zip(choices)) {
             if (choice == null || choice.wait > longestWait) continue
@@ -597,6 +624,10 @@
 
         /** Minimum time to find capacity for a job whose estimate exceeds its objective. */
         val MIN_START_WINDOW = 50.milliseconds
+
+        /** Agents learn the ratios over some hundred runs, so a second is short. */
+        val SPEEDS_INTERVAL = 1.seconds
+        const val LOGGED_SPEED_CHANGE = 0.1
         val SHORT_RETRY = 1.seconds
         val LONG_RETRY = 5.seconds
     }
