A cancel that one entry acknowledges ends the job at its owner

Change: an agent reports a cancel to its other entries, before the outcomes of the tasks that it stopped; these end the job if they own it. Ruled out: a reason in the reports of the stopped tasks alone, which misses a job whose tasks wait at the owner or run at agents that the other entry isn't linked to.

--- a/bench/src/main/kotlin/io/bluebellramp/bench/jobs/SimulatedSystem.kt
+++ b/bench/src/main/kotlin/io/bluebellramp/bench/jobs/SimulatedSystem.kt
@@ -226,6 +226,11 @@
             }
         }
 
+        override fun reportCancelled(
+            job: JobId,
+            from: LinkId,
+        ) = Unit
+
         override fun capacityChanged() {
             if (capacityChangedAt != null) return
             capacityChangedAt = time.now
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/RunManager.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/RunManager.kt
@@ -22,6 +22,12 @@
         report: TaskReport,
     )
 
+    /** Reports to all connected entries but the one at [from] that [job] was cancelled. */
+    fun reportCancelled(
+        job: JobId,
+        from: LinkId,
+    )
+
     /** Called when [RunManager.capacityReport] may have changed. */
     fun capacityChanged()
 
@@ -212,8 +218,17 @@
         job: JobId,
     ) = stopAll("the entry ended the job") { it.task.job == job && it.owner == owner }
 
-    /** Stops all tasks of [job], whichever entry dispatched them. */
-    fun cancel(job: JobId) = stopAll("the job was cancelled") { it.task.job == job }
+    /**
+     * Stops all tasks of [job], whichever entry dispatched them. The other entries learn of the cancel before they learn that the tasks have stopped,
+     * because the owner would otherwise take these for lost and dispatch them again.
+     */
+    fun cancel(
+        job: JobId,
+        from: LinkId,
+    ) {
+        outputs.reportCancelled(job, from)
+        stopAll("the job was cancelled") { it.task.job == job }
+    }
 
     /** Records that the link to an entry is lost, and stops its tasks. */
     fun linkDown(owner: LinkId) = stopAll("the link to the entry is lost") { it.owner == owner }
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/AgentNode.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/AgentNode.kt
@@ -3,6 +3,7 @@
 import io.bluebellramp.core.Address
 import io.bluebellramp.core.Clock
 import io.bluebellramp.core.IncarnationId
+import io.bluebellramp.core.JobId
 import io.bluebellramp.core.TargetId
 import io.bluebellramp.core.WireJson
 import io.bluebellramp.jobs.EntryRoster
@@ -173,6 +174,7 @@
         private var id: LinkId? = null
         private var received = 0L
         private val outcomes = ArrayList<TaskReport>()
+        private val cancels = LinkedHashSet<JobId>()
         private var lastReport: RoomReport? = null
         private var retiringSince: Duration? = null
 
@@ -204,25 +206,30 @@
             if (report.event != TaskEvent.STARTED) hasUrgentOutcomes = true
         }
 
-        /** Sends the outcomes, and [capacity] if it has changed. */
+        fun addCancel(job: JobId) {
+            cancels += job
+        }
+
+        /** Sends the outcomes and cancels, and [capacity] if it has changed. */
         fun flush(
             capacity: RoomReport,
             isHeartbeat: Boolean = false,
         ) {
             val report = capacity.copy(received = received, accepting = capacity.accepting && retiringSince == null)
-            if (outcomes.isEmpty() && report == lastReport) {
+            if (outcomes.isEmpty() && cancels.isEmpty() && report == lastReport) {
                 // An unchanged report is not repeated: the empty frame confirms it.
                 if (isHeartbeat) dialer.link?.send(EMPTY_FRAME)
                 return
             }
             lastReport = report
-            val frame = ReportFrame(room = report, outcomes = outcomes.toList())
+            val frame = ReportFrame(room = report, outcomes = outcomes.toList(), cancels = cancels.toList())
             clearOutcomes()
             dialer.link?.send(WireJson.encodeToString(frame))
         }
 
         private fun clearOutcomes() {
             outcomes.clear()
+            cancels.clear()
             hasUrgentOutcomes = false
         }
 
@@ -254,7 +261,7 @@
             if (text == EMPTY_FRAME) return
             val frame = WireJson.decodeFromString<DispatchFrame>(text)
             frame.stops.forEach { runManager.stopJob(owner, it) }
-            frame.cancels.forEach { runManager.cancel(it) }
+            frame.cancels.forEach { runManager.cancel(it, owner) }
             frame.dispatches.forEach {
                 received += it.tasks.size
                 runManager.dispatch(owner, it)
@@ -288,6 +295,14 @@
             scheduleFlush()
         }
 
+        override fun reportCancelled(
+            job: JobId,
+            from: LinkId,
+        ) {
+            links.forEach { (id, entry) -> if (id != from) entry.addCancel(job) }
+            scheduleFlush()
+        }
+
         override fun capacityChanged() = scheduleFlush()
 
         override fun onDecision(decision: JobDecision) = decision.log()
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
@@ -196,6 +196,8 @@
             val id = linkIds[link] ?: return
             // The capacity report goes first, because returned tasks are placed by it.
             frame.room?.let { scheduler.capacityReported(id, it) }
+            // A cancel goes before the outcomes of the tasks that it stopped, which would otherwise be placed again.
+            frame.cancels.forEach { scheduler.cancel(it) }
             frame.outcomes.forEach { scheduler.report(id, it) }
         }
 
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/Fakes.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/Fakes.kt
@@ -91,6 +91,7 @@
 /** Records the outputs of a [RunManager]. */
 internal class RecordingRunOutputs : RunOutputs {
     val reports = ArrayList<Pair<LinkId, TaskReport>>()
+    val cancels = ArrayList<Pair<JobId, LinkId>>()
     val decisions = ArrayList<JobDecision>()
 
     override fun report(
@@ -100,6 +101,13 @@
         reports += link to report
     }
 
+    override fun reportCancelled(
+        job: JobId,
+        from: LinkId,
+    ) {
+        cancels += job to from
+    }
+
     override fun capacityChanged() = Unit
 
     override fun onDecision(decision: JobDecision) {
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/history/SimSystem.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/history/SimSystem.kt
@@ -172,6 +172,11 @@
 
     private val outboxes = LinkedHashMap<LinkId, DispatchOutbox>()
 
+    fun cancel(job: JobId): Boolean {
+        links.keys.forEach { outbox(it).cancel(job) }
+        return scheduler.cancel(job)
+    }
+
     private fun outbox(link: LinkId): DispatchOutbox {
         if (outboxes.isEmpty()) sim.after(Duration.ZERO, ::flush)
         return outboxes.getOrPut(link) { DispatchOutbox() }
@@ -190,6 +195,7 @@
         link.sendToAgent {
             val runManager = link.agent.runManager
             frame.stops.forEach { runManager.stopJob(link.id, it) }
+            frame.cancels.forEach { runManager.cancel(it, link.id) }
             frame.dispatches.forEach {
                 link.addReceived(it.tasks.size)
                 runManager.dispatch(link.id, it)
@@ -308,6 +314,11 @@
             simLink.sendToEntry { simLink.entry.scheduler.report(link, report) }
         }
 
+        override fun reportCancelled(
+            job: JobId,
+            from: LinkId,
+        ) = links.forEach { (id, link) -> if (id != from) link.sendToEntry { link.entry.scheduler.cancel(job) } }
+
         override fun capacityChanged() = Unit
 
         override fun onDecision(decision: JobDecision) = Unit
