Callers are spread anew once an entry has joined its zone

Cause: callers of a lost entry stay connected to the survivors. Change: CallerRebalancer decides which connections are closed after a reply; HttpServer asks it. In force on VMs with less than half a core. Ruled out: readiness by load, handing over jobs, closing by load (docs/design/callers.md). Measured: CallerRebalancerTest, HttpServerTest and HttpConnectionPoolTest pass. RolesTest failed once at a load average of 22 ("catalogs that arrive at once": all eight orders outlived their time limit, 503, and were in force later) and passed in the next run.

--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
@@ -6,7 +6,9 @@
 import io.bluebellramp.core.JobId
 import io.bluebellramp.core.WireJson
 import io.bluebellramp.jobs.Caller
+import io.bluebellramp.jobs.CallerRebalancer
 import io.bluebellramp.jobs.DispatchOutbox
+import io.bluebellramp.jobs.EntryLife
 import io.bluebellramp.jobs.JobDecision
 import io.bluebellramp.jobs.JobOutputs
 import io.bluebellramp.jobs.JobRequest
@@ -49,6 +51,8 @@
     private val control = ControlLinks(settings, loop, clock, hello, ::applyState)
     private val scheduler = JobScheduler(clock, Outputs(), LinkTiming.LOST_LINK_RUN_TIMEOUT)
     private val server = FrameServer(loop, clock, address.host, address.port, AgentListener())
+    private val rebalancer = CallerRebalancer(EntryLife(hello.incarnation, hello.zone)).takeIf { settings.processorShare.isScarce() }
+    private var directoryVersion = 0L
     private var lastLinkNumber = 0L
     private var isStopping = false
     private var isListening = false
@@ -69,6 +73,15 @@
     /** Number of connected agents. */
     val agents: Int get() = scheduler.agents
 
+    /** Number of callers that were asked to connect again. */
+    val callersMoved: Long get() = rebalancer?.closedCount ?: 0
+
+    /** Returns whether the connection of a caller that was opened [age] ago is kept after its next reply. */
+    fun keepsCaller(age: Duration): Boolean {
+        val now = clock.monotonic()
+        return rebalancer?.keeps(openedAt = now - age, now) ?: true
+    }
+
     /** Starts to connect to control and to listen for agents. */
     fun start() {
         control.start()
@@ -122,10 +135,20 @@
         isListening = true
         val now = clock.monotonic()
         links.values.toList().forEach { it.closeIfSilent(LinkTiming.LINK_TIMEOUT, now) }
+        updateNeighbours(now)
         scheduler.tick()
         links.values.forEach { if (now - it.lastSentAt >= LinkTiming.HEARTBEAT_PERIOD) it.send(EMPTY_FRAME) }
     }
 
+    private fun updateNeighbours(now: Duration) {
+        if (rebalancer == null || directoryVersion == control.directoryVersion) return
+        directoryVersion = control.directoryVersion
+        val joined = rebalancer.update(control.entries.map { EntryLife(it.incarnation, it.zone) }, now)
+        if (joined.isEmpty()) return
+        val reason = "${joined.size} entries joined the zone; connections are closed after a reply in ${CallerRebalancer.SETTLING_TIME}"
+        logDecision(Decision(kind = "callers_rebalanced", reason = reason))
+    }
+
     /**
      * Closes all links to agents if the process was paused, because the agents may have stopped the tasks of this entry. Returns true if it was.
      * Called before each input, since input that arrived during the pause may be read before the next tick.
@@ -215,6 +238,15 @@
 
     private companion object {
         const val EMPTY_FRAME = "{}"
+
+        /**
+         * A job of eight tasks takes several milliseconds of processor time at its entry. On a smaller share of a core, the callers of a lost
+         * neighbour are answered late.
+         */
+        const val ENOUGH_PROCESSOR_SHARE = 0.5
+
+        /** Returns whether an entry with this share of a core cannot take over the callers of its zone. A share of 0 is unknown. */
+        fun Double.isScarce() = this > 0 && this < ENOUGH_PROCESSOR_SHARE
     }
 }
 
--- a/messages/src/main/kotlin/io/bluebellramp/messages/NodeSettings.kt
+++ b/messages/src/main/kotlin/io/bluebellramp/messages/NodeSettings.kt
@@ -40,4 +40,6 @@
     val stopSeconds: Double = 6.0,
     /** Maximum duration of a lease that a target grants (ms). */
     val longestLeaseMillis: Long = 1000,
+    /** Share of a core that the VM has. 0 if it is unknown. */
+    val processorShare: Double = 0.0,
 )
--- a/transport/src/main/kotlin/io/bluebellramp/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/io/bluebellramp/transport/HttpServer.kt
@@ -22,6 +22,7 @@
 import org.tinylog.kotlin.Logger
 import java.io.IOException
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.nanoseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -41,16 +42,25 @@
     val maxConnections: Int = 2_000,
 )
 
+/** Decides whether a connection is kept for further requests. */
+fun interface ConnectionRetention {
+    /** Returns whether a connection that was opened [age] ago is kept after the reply that is about to be sent on it. */
+    fun keeps(age: Duration): Boolean
+}
+
 /**
  * An HTTP/1.1 server on [address] that runs on the event loop. Requests of one connection are handled one after the other.
  *
  * A request is handled after the loop has looked for input again. If its caller had closed the connection by then, it is dropped: a process that
  * was paused or is behind would otherwise work for callers that have gone elsewhere.
+ *
+ * @param retention decides which connections are closed after their reply although they could be kept
  */
 class HttpServer(
     internal val loop: EventLoop,
     private val address: Address,
     private val limits: () -> HttpLimits,
+    internal val retention: ConnectionRetention = ConnectionRetention { true },
     private val handler: HttpHandler,
 ) {
     private val connections = HashSet<HttpConnection>()
@@ -144,7 +154,8 @@
     private var channel: Channel? = null
     private var current: Exchange? = null
     private var receivingSinceNanos: Long? = null
-    private var idleSinceNanos = System.nanoTime()
+    private val openedAtNanos = System.nanoTime()
+    private var idleSinceNanos = openedAtNanos
 
     /** True once a body was refused: the connection takes no further request. */
     private var isRefused = false
@@ -264,8 +275,12 @@
             if (isFinished) return
             isFinished = true
             current = null
-            idleSinceNanos = System.nanoTime()
-            write(response, keepsAlive)
+            val now = System.nanoTime()
+            idleSinceNanos = now
+            // A request that has already arrived is still served here.
+            val isKept =
+                pendingRequests.isNotEmpty() || receivingSinceNanos != null || server.retention.keeps((now - openedAtNanos).nanoseconds)
+            write(response, keepsAlive && isKept)
             handleNext()
         }
 
--- a/transport/src/test/kotlin/io/bluebellramp/transport/HttpConnectionPoolTest.kt
+++ b/transport/src/test/kotlin/io/bluebellramp/transport/HttpConnectionPoolTest.kt
@@ -31,7 +31,7 @@
     private fun post(timeout: Duration) = pool.post("/order", "{}", emptyMap(), timeout) { results += it }
 
     private fun startServer(handler: HttpHandler) {
-        HttpServer(serverLoop, address, { HttpLimits() }, handler).start()
+        HttpServer(serverLoop, address, { HttpLimits() }, handler = handler).start()
         awaitListener(address)
     }
 
--- a/transport/src/test/kotlin/io/bluebellramp/transport/HttpServerTest.kt
+++ b/transport/src/test/kotlin/io/bluebellramp/transport/HttpServerTest.kt
@@ -17,7 +17,11 @@
     private val loop = EventLoop()
     private val address = Address("127.0.0.1:${freePort()}")
     private val calls = LinkedBlockingQueue<HttpCall>()
-    private val server = HttpServer(loop, address, { HttpLimits(maxHeaderBytes = 512, maxBodyBytes = 100) }) { calls.add(it) }
+
+    @Volatile
+    private var keepsConnections = true
+    private val server =
+        HttpServer(loop, address, { HttpLimits(maxHeaderBytes = 512, maxBodyBytes = 100) }, { keepsConnections }) { calls.add(it) }
 
     @AfterEach
     fun close() = loop.close()
@@ -43,6 +47,35 @@
 
     private fun nextCall() = assertNotNull(calls.poll(5, TimeUnit.SECONDS), "no call was received")
 
+    @Nested
+    inner class Retention {
+        @Test
+        fun `a connection that is not kept is closed after a reply that says so`() {
+            keepsConnections = false
+            connect().use { socket ->
+                socket.send("GET /a HTTP/1.1\r\n\r\n")
+                val call = nextCall()
+                loop.execute { call.respond(HttpResponse(200, "one")) }
+                val text = socket.getInputStream().readBytes().decodeToString()
+                assertTrue("200 OK" in text && "connection: close" in text && text.endsWith("one"), text)
+            }
+        }
+
+        @Test
+        fun `a request that has arrived is served before its connection is closed`() {
+            keepsConnections = false
+            connect().use { socket ->
+                socket.send("GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n")
+                val first = nextCall()
+                loop.execute { first.respond(HttpResponse(200, "one")) }
+                val second = nextCall()
+                loop.execute { second.respond(HttpResponse(200, "two")) }
+                val text = socket.getInputStream().readBytes().decodeToString()
+                assertTrue(text.endsWith("two") && text.split("connection: close").size == 2, text)
+            }
+        }
+    }
+
     @Nested
     inner class Responses {
         @Test
