Cheaper log lines, metrics, capacity lookups and pause checks at an entry

Cause: each observed answer woke Prometheus' scheduler thread for exemplars that nothing uses; a line was put together through three maps and a formatted instant; an agent's capacity was computed with two lists and a set for each waiting task and agent, though it changes only with a report or a dispatch; each input made several objects to detect a pause. Change: metrics have no exemplars; a decision's line is written without another map, and the text of its second is reused; the tracker keeps sums and the capacity by queue until the next report or dispatch; the pause check and the job id need no objects and no pattern. A line's time always has nine digits now, where it left out zeros before.

--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/AgentCapacityTracker.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/AgentCapacityTracker.kt
@@ -24,15 +24,25 @@
     private var report = RoomReport(accepting = false)
     private var reportedAt = Duration.ZERO
     private val unacknowledged = ArrayDeque<DispatchedTasks>()
+    private var unacknowledgedMilliCpu = 0
+    private var unacknowledgedMemoryMb = 0
     private var dispatchedTaskCount = 0L
 
+    /** The capacity for a new task of each queue that was asked for since the last change; its report age is that of the first question. */
+    private val knownCapacities = HashMap<String, AgentCapacity<LinkId>>()
+
     fun update(
         next: RoomReport,
         now: Duration,
     ) {
         report = next
         reportedAt = now
-        while (unacknowledged.isNotEmpty() && unacknowledged.first().lastTaskNumber <= next.received) unacknowledged.removeFirst()
+        while (unacknowledged.isNotEmpty() && unacknowledged.first().lastTaskNumber <= next.received) {
+            val acknowledged = unacknowledged.removeFirst()
+            unacknowledgedMilliCpu -= acknowledged.milliCpu
+            unacknowledgedMemoryMb -= acknowledged.memoryMb
+        }
+        knownCapacities.clear()
     }
 
     /** Records that the last report still holds. */
@@ -44,8 +54,11 @@
         val count = dispatch.tasks.size
         dispatchedTaskCount += count
         val cpuMicros = count.toLong() * dispatch.milliCpu * dispatch.estimateMillis
-        unacknowledged +=
-            DispatchedTasks(dispatchedTaskCount, dispatch.queue, count * dispatch.milliCpu, count * dispatch.memoryMb, cpuMicros)
+        val tasks = DispatchedTasks(dispatchedTaskCount, dispatch.queue, count * dispatch.milliCpu, count * dispatch.memoryMb, cpuMicros)
+        unacknowledged += tasks
+        unacknowledgedMilliCpu += tasks.milliCpu
+        unacknowledgedMemoryMb += tasks.memoryMb
+        knownCapacities.clear()
     }
 
     /** Returns whether new tasks of [service] may be sent to the agent. */
@@ -65,26 +78,43 @@
         now: Duration,
         queue: String,
     ): AgentCapacity<LinkId> {
-        val freeMilliCpu = report.freeMilliCpu - unacknowledged.sumOf { it.milliCpu }
-        val queuesAhead = queuesAheadOf(queue)
+        val reportAge = now - reportedAt
+        // Waiting tasks ask again at each tick, mostly without a change in between.
+        val known = knownCapacities[queue] ?: return computeCapacity(reportAge, queue).also { knownCapacities[queue] = it }
+        return if (known.reportAge == reportAge) known else known.copy(reportAge = reportAge)
+    }
+
+    private fun computeCapacity(
+        reportAge: Duration,
+        queue: String,
+    ): AgentCapacity<LinkId> {
+        val freeMilliCpu = report.freeMilliCpu - unacknowledgedMilliCpu
+        val position = positionOf(queue)
+        var workAheadCpuMicros = 0L
+        for (work in report.waiting) if (isAhead(work.queue, queue, position)) workAheadCpuMicros += work.work
         // Dispatched tasks that exceed the free capacity wait at the agent.
-        val dispatchedCpuMicros = if (freeMilliCpu < 0) unacknowledged.sumOf { if (it.queue in queuesAhead) it.cpuMicros else 0L } else 0L
+        if (freeMilliCpu < 0) {
+            for (tasks in unacknowledged) if (isAhead(tasks.queue, queue, position)) workAheadCpuMicros += tasks.cpuMicros
+        }
         return AgentCapacity(
             agent = link,
             milliCpu = report.milliCpu,
             freeMilliCpu = freeMilliCpu,
-            freeMemoryMb = report.freeMemoryMb - unacknowledged.sumOf { it.memoryMb },
-            workAheadCpuMicros = report.waiting.sumOf { if (it.queue in queuesAhead) it.work else 0L } + dispatchedCpuMicros,
+            freeMemoryMb = report.freeMemoryMb - unacknowledgedMemoryMb,
+            workAheadCpuMicros = workAheadCpuMicros,
             slowness = report.slowness,
             failureRate = report.failing,
-            reportAge = now - reportedAt,
+            reportAge = reportAge,
         )
     }
 
-    /** Returns [queue] and the queues whose tasks start before a new task of [queue]. */
-    private fun queuesAheadOf(queue: String): Set<String> {
-        val names = report.waiting.map { it.queue }
-        val position = names.indexOf(queue)
-        return if (position < 0) setOf(queue) else names.take(position + 1).toSet()
-    }
+    /** Returns the place of [queue] among the queues with waiting tasks, or -1. */
+    private fun positionOf(queue: String) = report.waiting.indexOfFirst { it.queue == queue }
+
+    /** Returns whether tasks of [other] start before a new task of [queue], which is at [position]. */
+    private fun isAhead(
+        other: String,
+        queue: String,
+        position: Int,
+    ) = other == queue || positionOf(other) in 0..position
 }
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/JobScheduler.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/JobScheduler.kt
@@ -469,7 +469,12 @@
         kind: String,
         job: Job,
         vararg details: Pair<String, Any>,
-    ) = outputs.onDecision(JobDecision(kind, job.id, mapOf("queue" to job.request.queue.name) + details))
+    ) {
+        val fields = LinkedHashMap<String, Any>()
+        fields["queue"] = job.request.queue.name
+        fields.putAll(details)
+        outputs.onDecision(JobDecision(kind, job.id, fields))
+    }
 
     private companion object {
         /** By the users' rules, a late answer is still useful within three times the objective. */
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/PauseDetector.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/PauseDetector.kt
@@ -4,7 +4,8 @@
 import java.time.Instant
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.toKotlinDuration
+import kotlin.time.Duration.Companion.nanoseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Detects that the process was paused or its VM was suspended. The monotonic clock may not advance during a suspension, so the wall clock
@@ -15,19 +16,18 @@
     private val clock: Clock,
     private val threshold: Duration = THRESHOLD,
 ) {
-    private var lastCheck: Pair<Duration, Instant>? = null
+    private var lastMonotonic = Duration.ZERO
+    private var lastWall: Instant? = null
 
     /** Returns the time since the last call if it exceeds the threshold, or null. Must be called every few milliseconds. */
     fun check(): Duration? {
         val monotonicNow = clock.monotonic()
         val wallNow = clock.wall()
-        val (lastMonotonic, lastWall) = lastCheck ?: (monotonicNow to wallNow)
-        lastCheck = monotonicNow to wallNow
-        val monotonicGap = monotonicNow - lastMonotonic
-        val wallGap =
-            java.time.Duration
-                .between(lastWall, wallNow)
-                .toKotlinDuration()
+        val previousWall = lastWall ?: wallNow
+        val monotonicGap = if (lastWall == null) Duration.ZERO else monotonicNow - lastMonotonic
+        val wallGap = (wallNow.epochSecond - previousWall.epochSecond).seconds + (wallNow.nano - previousWall.nano).nanoseconds
+        lastMonotonic = monotonicNow
+        lastWall = wallNow
         val pause = maxOf(monotonicGap, wallGap)
         return pause.takeIf { it > threshold }
     }
--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/JsonLines.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/JsonLines.kt
@@ -34,13 +34,33 @@
     val droppedLineCount: Long get() = dropped.get()
     private var reportedCount = 0L
 
+    /** Lines are formatted on several threads; each sees a whole object. */
+    @Volatile
+    private var lastSecond = Second(0)
+
     /** Queues a line. Fields with an empty value are omitted. */
     fun add(
         level: String,
         message: String,
         fields: Map<String, Any> = emptyMap(),
     ) {
-        if (!queue.offer(formatLine(level, message, fields))) dropped.incrementAndGet()
+        queueLine(formatLine(level, message) { appendFields(fields) })
+    }
+
+    /** Queues [decision] as a line. */
+    fun add(decision: Decision) {
+        val fields = decision.fields
+        val line =
+            formatLine("INFO", "decision") {
+                if ("decision" !in fields) appendField("decision", decision.kind)
+                if ("reason" !in fields) appendField("reason", decision.reason)
+                appendFields(fields)
+            }
+        queueLine(line)
+    }
+
+    private fun queueLine(line: String) {
+        if (!queue.offer(line)) dropped.incrementAndGet()
     }
 
     /** Starts the thread that writes the queued lines. */
@@ -54,7 +74,11 @@
         val batch = ArrayList<String>()
         queue.drainTo(batch)
         val droppedCount = dropped.get()
-        if (droppedCount > reportedCount) batch += formatLine("WARN", "log lines dropped", mapOf("count" to droppedCount - reportedCount))
+        if (droppedCount >
+            reportedCount
+        ) {
+            batch += formatLine("WARN", "log lines dropped") { appendField("count", droppedCount - reportedCount) }
+        }
         reportedCount = droppedCount
         if (batch.isEmpty()) return
         try {
@@ -73,30 +97,52 @@
         }
     }
 
-    private fun formatLine(
+    private inline fun formatLine(
         level: String,
         message: String,
-        fields: Map<String, Any>,
+        appendContent: StringBuilder.() -> Unit,
     ): String {
         val builder = StringBuilder(INITIAL_LINE_CHARACTERS)
-        builder
-            .append("{\"time\":\"")
-            .append(now())
-            .append("\",\"level\":\"")
-            .append(level)
-            .append("\",\"message\":")
-        builder.append(quoted(message))
-        if (node.isNotEmpty()) builder.append(",\"node\":").append(quoted(node))
-        for ((name, value) in fields) {
-            val content = value.toString()
-            if (content.isEmpty()) continue
-            builder.append(",\"").append(name).append("\":")
-            if (value is Number || value is Boolean) builder.append(content) else builder.append(quoted(content))
-        }
+        builder.append("{\"time\":\"").appendTime(now())
+        builder.append("\",\"level\":\"").append(level).append("\",\"message\":")
+        builder.appendQuoted(message)
+        if (node.isNotEmpty()) builder.append(",\"node\":").appendQuoted(node)
+        builder.appendContent()
         return builder.append("}\n").toString()
     }
 
-    private fun quoted(text: String) = JsonPrimitive(text).toString()
+    private fun StringBuilder.appendFields(fields: Map<String, Any>) = fields.forEach { (name, value) -> appendField(name, value) }
+
+    private fun StringBuilder.appendField(
+        name: String,
+        value: Any,
+    ) {
+        val content = value.toString()
+        if (content.isEmpty()) return
+        append(",\"").append(name).append("\":")
+        if (value is Number || value is Boolean) append(content) else appendQuoted(content)
+    }
+
+    private fun StringBuilder.appendQuoted(text: String) {
+        val isPlain = text.none { it < ' ' || it == '"' || it == '\\' }
+        if (isPlain) append('"').append(text).append('"') else append(JsonPrimitive(text).toString())
+    }
+
+    /** Appends [time] in UTC with nanoseconds. The text down to the second is formatted once a second. */
+    private fun StringBuilder.appendTime(time: Instant) {
+        val known = lastSecond
+        val second = if (known.epochSecond == time.epochSecond) known else Second(time.epochSecond).also { lastSecond = it }
+        append(second.text).append('.')
+        val digits = time.nano.toString()
+        repeat(NANO_DIGITS - digits.length) { append('0') }
+        append(digits).append('Z')
+    }
+
+    private class Second(
+        val epochSecond: Long,
+    ) {
+        val text = Instant.ofEpochSecond(epochSecond).toString().removeSuffix("Z")
+    }
 
     /** The log of this process. */
     companion object {
@@ -106,6 +152,7 @@
         /** Time between writes (ms). Each write covers all lines queued since the last one. */
         private const val FLUSH_INTERVAL_MILLIS = 100L
         private const val INITIAL_LINE_CHARACTERS = 256
+        private const val NANO_DIGITS = 9
 
         /** The log on standard output, or null if [install] was not called. */
         @Volatile
--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/Logging.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/Logging.kt
@@ -68,12 +68,7 @@
 
 /** Logs [decision] as one line. Its fields use the same names in all processes, so that a task can be followed across them. */
 fun logDecision(decision: Decision) {
-    val lines = JsonLines.installed
-    if (lines !=
-        null
-    ) {
-        return lines.add("INFO", "decision", mapOf("decision" to decision.kind, "reason" to decision.reason) + decision.fields)
-    }
+    JsonLines.installed?.let { return it.add(decision) }
     ThreadContext.put("decision", decision.kind)
     ThreadContext.put("reason", decision.reason)
     decision.fields.forEach { (name, value) -> ThreadContext.put(name, value.toString()) }
--- a/runtime/src/main/kotlin/io/bluebellramp/runtime/Metrics.kt
+++ b/runtime/src/main/kotlin/io/bluebellramp/runtime/Metrics.kt
@@ -18,6 +18,8 @@
         .name(name)
         .help(help)
         .labelNames(*labels)
+        // Exemplars need traces, and without traces each observation would still wake a thread.
+        .withoutExemplars()
         .register(this)
 
 /** Registers and returns a gauge whose value the caller sets. */
--- a/runtime/src/test/kotlin/io/bluebellramp/runtime/JsonLinesTest.kt
+++ b/runtime/src/test/kotlin/io/bluebellramp/runtime/JsonLinesTest.kt
@@ -33,6 +33,33 @@
         assertEquals(null, line["empty"])
     }
 
+    @Test
+    fun `a decision is one line, in which its own fields replace the common ones`() {
+        lines.add(Decision(kind = "placed", reason = "", fields = mapOf("job" to "\u0001", "reason" to "full")))
+        lines.add(Decision(kind = "started", reason = "ready"))
+        lines.flush()
+        val (placed, started) = parsedLines()
+        assertEquals(listOf("placed", "\u0001", "full"), listOf("decision", "job", "reason").map { placed.field(it) })
+        assertEquals(listOf("decision", "started", "ready"), listOf("message", "decision", "reason").map { started.field(it) })
+        assertEquals(setOf("time", "level", "message", "decision", "reason"), started.keys)
+    }
+
+    @Test
+    fun `the time of a line has nanoseconds, and follows the clock in both directions`() {
+        val times =
+            listOf(
+                "2026-12-07T02:47:05.038940948Z",
+                "2026-12-07T02:47:05.000000007Z",
+                "2026-12-07T02:47:06.000000000Z",
+                "2026-12-07T02:47:05.900000000Z",
+            )
+        val clock = times.map { Instant.parse(it) }.iterator()
+        val timed = JsonLines(out) { clock.next() }
+        repeat(times.size) { timed.add("INFO", "line") }
+        timed.flush()
+        assertEquals(times, parsedLines().map { it.field("time") })
+    }
+
     @Test
     fun `lines beyond the capacity are dropped, counted and reported once`() {
         repeat(5) { lines.add("INFO", "line $it") }
