--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
@@ -25,6 +25,7 @@
 import io.bluebellramp.runtime.Decision
 import io.bluebellramp.runtime.logDecision
 import io.bluebellramp.transport.ControlLinks
+import io.bluebellramp.transport.EMPTY_FRAME
 import io.bluebellramp.transport.EventLoop
 import io.bluebellramp.transport.FrameLink
 import io.bluebellramp.transport.FrameServer
@@ -134,7 +135,8 @@
         if (!isListening) server.start()
         isListening = true
         val now = clock.monotonic()
-        links.values.toList().forEach { it.closeIfSilent(LinkTiming.LINK_TIMEOUT, now) }
+        // A silent link is closed by a later timer, so this doesn't change the links.
+        for (link in links.values) link.closeIfSilent(LinkTiming.LINK_TIMEOUT, now)
         updateNeighbours(now)
         scheduler.tick()
         links.values.forEach { if (now - it.lastSentAt >= LinkTiming.HEARTBEAT_PERIOD) it.send(EMPTY_FRAME) }
@@ -239,8 +241,6 @@
     }
 
     private companion object {
-        const val EMPTY_FRAME = "{}"
-
         /**
          * A job of eight tasks takes several milliseconds of processor time at its entry. On a smaller share of a core, the callers of a lost
          * neighbour are answered late.
@@ -253,4 +253,9 @@
 }
 
 /** Writes the decision as one log line. */
-internal fun JobDecision.log() = logDecision(Decision(kind = kind, reason = "", fields = mapOf("job" to job.value) + details))
+internal fun JobDecision.log() {
+    val fields = LinkedHashMap<String, Any>()
+    fields["job"] = job.value
+    fields.putAll(details)
+    logDecision(Decision(kind = kind, reason = "", fields = fields))
+}
