--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/JobScheduler.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/JobScheduler.kt
@@ -37,7 +37,7 @@
 ) {
     private val selector = AgentSelector(random)
     private val admission = JobAdmission()
-    private val shortage = ShortagePolicy()
+    private val shortage = ShortagePolicy(random)
     private val jobs = LinkedHashMap<JobId, Job>()
     private val trackers = HashMap<LinkId, AgentCapacityTracker>()
     private var zonesOut: Set<ZoneId> = emptySet()
@@ -281,8 +281,13 @@
                 isContended = shortage.isContended(job.arrivedAt),
             )
         return when (decision) {
-            AdmissionDecision.Admit -> null
-            is AdmissionDecision.Refuse -> JobAnswer.NotRun("no room in time", decision.retryAfter)
+            AdmissionDecision.Admit -> {
+                null
+            }
+
+            is AdmissionDecision.Refuse -> {
+                JobAnswer.NotRun("no room in time", shortage.retryAfter(decision.expectedWait - slack, priority, job.arrivedAt))
+            }
         }
     }
 
@@ -387,6 +392,7 @@
         val wait = waits.maxOrNull() ?: return false
         val waiting = waitingJob(job, capacities.now)
         if (!shortage.turnsAway(waiting, wait, capacities.now)) return false
+        val excess = shortage.expectedWait(wait, waiting.priority, capacities.now) - waiting.slack
         recordDecision(
             "turned_away",
             job,
@@ -395,7 +401,7 @@
             "wait" to wait,
             "cpu_micros" to waiting.cpuMicros,
         )
-        end(job, EndCause.Aborted("no room in time", SHORT_RETRY))
+        end(job, EndCause.Aborted("behind more urgent work", shortage.retryAfter(excess, waiting.priority, capacities.now)))
         return true
     }
 
--- a/placement/src/main/kotlin/io/bluebellramp/placement/ShortagePolicy.kt
+++ b/placement/src/main/kotlin/io/bluebellramp/placement/ShortagePolicy.kt
@@ -1,6 +1,9 @@
 package io.bluebellramp.placement
 
+import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * A job of an entry with tasks that wait to be placed.
@@ -27,7 +30,9 @@
  * by the priority of its queue, then by the slack of its job, then by the work that has to be done to serve it. While all jobs have the
  * same priority, nothing is reordered and no held job is turned away early.
  */
-class ShortagePolicy {
+class ShortagePolicy(
+    private val random: Random = Random.Default,
+) {
     private val load = PriorityLoad()
 
     /** Records that a job of [priority] with [cpuMicros] of work (core-microseconds) was admitted. */
@@ -85,7 +90,30 @@
         now: Duration,
     ): Boolean = job.isHeld && !job.hasStarted && isContended(now) && expectedWait(wait, job.priority, now) > job.slack
 
+    /**
+     * Returns when the caller of a job that is not run may come back.
+     *
+     * While several priorities compete, callers are spread over the time after [excess], so that they do not return together. The spread is
+     * wider for lower priorities, so that the more urgent return first; smaller jobs do as their excess is smaller.
+     *
+     * @param excess time until what is too much now has drained
+     */
+    fun retryAfter(
+        excess: Duration,
+        priority: Int,
+        now: Duration,
+    ): Duration {
+        if (!isContended(now)) return excess.coerceIn(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+        val spread = MIN_RETRY_SPREAD + LOWER_PRIORITY_RETRY_SPREAD * load.moreUrgentShare(priority, now)
+        return excess.coerceIn(MIN_RETRY_AFTER, MAX_RETRY_AFTER - spread) + spread * random.nextDouble()
+    }
+
     private companion object {
+        val MIN_RETRY_AFTER = 200.milliseconds
+        val MAX_RETRY_AFTER = 3.seconds
+        val MIN_RETRY_SPREAD = 500.milliseconds
+        val LOWER_PRIORITY_RETRY_SPREAD = 2.seconds
+
         /** One in this many places goes to a lower priority. */
         const val LOWER_PRIORITY_TURN = 8
 
--- a/placement/src/test/kotlin/io/bluebellramp/placement/ShortagePolicyTest.kt
+++ b/placement/src/test/kotlin/io/bluebellramp/placement/ShortagePolicyTest.kt
@@ -54,6 +54,32 @@
         }
     }
 
+    @Nested
+    inner class Retries {
+        private fun retries(
+            priority: Int,
+            excess: Duration = 400.milliseconds,
+        ) = List(200) { policy.retryAfter(excess, priority, now) }
+
+        @Test
+        fun `while priorities compete, callers return spread over time, the more urgent earlier`() {
+            policy.admitted(0, 1_000_000, now)
+            policy.admitted(2, 1_000_000, now)
+            val urgent = retries(priority = 0)
+            val long = retries(priority = 2)
+            assertTrue(urgent.max() <= 900.milliseconds && urgent.min() >= 400.milliseconds)
+            assertTrue(long.max() <= 1900.milliseconds && long.min() >= 400.milliseconds)
+            assertTrue(long.toSet().size > 100 && long.max() > 1500.milliseconds)
+            assertTrue(retries(priority = 2, excess = 60.seconds).max() <= 3.seconds)
+        }
+
+        @Test
+        fun `with one priority callers return once the excess has drained`() {
+            policy.admitted(0, 1_000_000, now)
+            assertEquals(setOf(400.milliseconds), retries(priority = 0).toSet())
+        }
+    }
+
     @Nested
     inner class TurningAway {
         private val job = waiting("long", 2, slack = 100.milliseconds)
