--- a/bench/src/test/kotlin/io/bluebellramp/bench/jobs/JobsTrialTest.kt
+++ b/bench/src/test/kotlin/io/bluebellramp/bench/jobs/JobsTrialTest.kt
@@ -92,6 +92,55 @@
         }
     }
 
+    /** Twelve targets, of which each third is 2.4 times as fast as the others, near the throughput of all. */
+    @Nested
+    inner class UnevenTargets {
+        private fun shareInTime(
+            isKindNamed: Boolean,
+            vararg disturbances: Disturbance,
+        ): Double {
+            val site = SiteFile.read(file, null)
+            val targets =
+                List(12) {
+                    val zone = site.targets[it % site.targets.size].zone
+                    val name =
+                        if (!isKindNamed) {
+                            ""
+                        } else if (it % 3 == 2) {
+                            "b"
+                        } else {
+                            "a"
+                        }
+                    if (it % 3 == 2) TargetKind(zone, 24_000, 32_768, 1.7, name) else TargetKind(zone, 16_000, 32_768, 0.7, name)
+                }
+            val row =
+                JobsReport
+                    .rows(
+                        JobsTrial(site.copy(targets = targets, disturbances = disturbances.toList()), 1, load = 5.0).run(),
+                    ).first()
+            return row.inAim.toDouble() / row.asked
+        }
+
+        private fun fault(
+            kind: Disturbance.Kind,
+            share: Double,
+        ) = Disturbance(kind, 4.seconds, 2.seconds, share, factor = 5.0, requestKind = "")
+
+        @Test
+        fun `more jobs end in time if the kinds of targets are known`() {
+            val share = shareInTime(isKindNamed = true)
+            assertTrue(share >= UNDISTURBED_IN_TIME_SHARE, "$share")
+            assertTrue(share > shareInTime(isKindNamed = false), "$share")
+        }
+
+        @Test
+        fun `few jobs miss their objective while targets restart and one is slow`() {
+            val faults = arrayOf(fault(Disturbance.Kind.CRASHED, share = 0.1), fault(Disturbance.Kind.SLOW, share = 0.1))
+            val share = shareInTime(isKindNamed = true, *faults)
+            assertTrue(share >= DISTURBED_IN_TIME_SHARE, "$share")
+        }
+    }
+
     private companion object {
         /** Minimum share of jobs that must end in time, without and with disturbances. */
         const val UNDISTURBED_IN_TIME_SHARE = 0.90
