A founder that was killed at its first start founds with the others

Cause: a founder that was killed before it had stored its identity came back without being told to found, and joined under a new id. Change: such a seed waits until it knows its role. Which identity it takes grants no vote: the stages of the founding members decide as before. Ruled out: to found with fewer than all founders, or with another seed that isn't told to found, since a lost disk can't be told from a first start then; two founders killed at their first start still wait (open). Tests changed: LogSupervisorTest leaves out an argument that is gone.

--- a/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/ControlNode.kt
@@ -99,7 +99,6 @@
         LogSupervisor(
             Path.of(settings.dataFolder),
             self,
-            settings.founding,
             transport,
             clock,
         ) { next -> loop.execute { onStateApplied(next) } }
@@ -133,15 +132,23 @@
         loop.every(TICK_INTERVAL) { tick() }
     }
 
-    /** A founder first waits until it knows which seeds have a disk, because only those keep a log. */
+    /** Starts the log. A seed with an empty folder first finds out whether it is a founder. */
     private fun startLog() {
         if (isLogStarted || !hasDisk) return
-        val mustWait = settings.founding && self in seeds && !log.hasIdentity
-        val knownAddresses = processes.values.map { it.address } + self
-        if (mustWait && !knownAddresses.containsAll(seeds)) return
+        val role = if (self !in seeds || log.hasIdentity) FoundingRole.Join else foundingRole() ?: return
         isLogStarted = true
+        val founders = (role as? FoundingRole.Found)?.founders.orEmpty()
+        logDecision(Decision(kind = "log_start", reason = "founders $founders, told to found: ${settings.founding}, seeds $seeds"))
+        log.start(founders)
+    }
+
+    private fun foundingRole(): FoundingRole? {
+        if (!settings.founding) return foundingRoleOfRestarted(self, receivedDirectories, clock.monotonic() - createdAt)
+        // Only seeds with a disk keep a log, so a founder waits until it knows which ones have one.
+        val knownAddresses = processes.values.map { it.address } + self
+        if (!knownAddresses.containsAll(seeds)) return null
         val diskless = processes.values.filterNot { it.hasDisk }.map { it.address }
-        log.start(founders = seeds - diskless.toSet())
+        return FoundingRole.Found(seeds - diskless.toSet())
     }
 
     /** Puts [catalog] in force unless a catalog with a higher number is. */
@@ -293,12 +300,8 @@
     private fun broadcastDirectory(status: LogStatus?) {
         val entries = processes.values.filter { it.role == ProcessRole.ENTRY }
         val members = status?.takeIf { it.isSettled }?.membership
-        val next =
-            if (members == null) {
-                directory.copy(entries = entries)
-            } else {
-                Directory(controls = members.voters + members.learners, controlsIndex = members.index, entries = entries)
-            }
+        val known = members?.let { directory.copy(controls = it.voters + it.learners, controlsIndex = it.index) } ?: directory
+        val next = known.copy(entries = entries, founders = log.awaitedFounders)
         if (next == directory) return
         directory = next
         val text = WireJson.encodeToString(ControlFrame(directory = next))
--- a/control/src/main/kotlin/io/bluebellramp/control/node/LogSupervisor.kt
+++ b/control/src/main/kotlin/io/bluebellramp/control/node/LogSupervisor.kt
@@ -42,7 +42,6 @@
 internal class LogSupervisor(
     private val folder: Path,
     private val self: Address,
-    private val isFounding: Boolean,
     private val transport: LogTransport,
     private val clock: Clock,
     private val onState: (SharedState) -> Unit,
@@ -65,6 +64,14 @@
     /** True if the folder holds the identity of this member. */
     val hasIdentity: Boolean get() = MemberIdentity.existsIn(folder)
 
+    /** The initial members while this member is one of them and waits for the others to found the cluster; otherwise empty. */
+    val awaitedFounders: List<Address>
+        get() {
+            val (identity, log) = running ?: return emptyList()
+            val membership = log.status().membership
+            return if (membership.voters.isEmpty()) identity.founders.map { it.address } else emptyList()
+        }
+
     /** True if this member is not a voter and waits to be added. */
     val isJoining: Boolean
         get() =
@@ -81,7 +88,7 @@
     /**
      * Starts the member, and restarts it after each failure.
      *
-     * @param founders link addresses of the initial members
+     * @param founders link addresses of the initial members if one with an empty folder is to be one of them; empty if it joins
      */
     fun start(founders: List<Address>) {
         scope.launch {
@@ -138,7 +145,7 @@
     private suspend fun openMember(founders: List<Address>): LogMember? {
         val identity =
             try {
-                MemberIdentity.loadOrCreate(folder, self, founders, isFounding)
+                MemberIdentity.loadOrCreate(folder, self, founders, isFounding = founders.isNotEmpty())
             } catch (e: IOException) {
                 Logger.error("Cannot open the data folder; retrying: $e")
                 return null
--- a/control/src/test/kotlin/io/bluebellramp/control/node/LogSupervisorTest.kt
+++ b/control/src/test/kotlin/io/bluebellramp/control/node/LogSupervisorTest.kt
@@ -59,7 +59,7 @@
     fun close() = supervisors.forEach { it.close() }
 
     private fun supervisor() =
-        LogSupervisor(folder, self, isFounding = true, UnreachableMembers, SystemClock) { }.also {
+        LogSupervisor(folder, self, UnreachableMembers, SystemClock) { }.also {
             supervisors += it
             it.start(listOf(self))
         }
