Play competing bursts of a long and an urgent kind in virtual time

Checks what callers get by schedulers and run managers together: the urgent kind is served best, the largest tenth of a kind at least half as often as the kind, service after the bursts as without them, and a cut of a quarter of the targets at the peak costs at most half of the service.

--- a/bench/src/test/kotlin/io/bluebellramp/bench/jobs/JobsTrialTest.kt
+++ b/bench/src/test/kotlin/io/bluebellramp/bench/jobs/JobsTrialTest.kt
@@ -141,6 +141,51 @@
         }
     }
 
+    /** Bursts of a long kind with low priority that coincide with bursts of a short urgent one. */
+    @Nested
+    inner class CompetingPriorities {
+        private val bursts =
+            listOf("long" to 2.5, "short" to 1.7).map { (kind, factor) ->
+                Disturbance(Disturbance.Kind.BURST, 2.seconds, 4.seconds, share = 0.0, factor = factor, requestKind = kind)
+            }
+
+        private fun play(disturbances: List<Disturbance> = bursts): List<SimulatedJob> {
+            val site = SiteFile.read(file, null)
+            val kinds = site.kinds.map { it.copy(priority = if (it.name == "short") 0 else 2) }
+            return JobsTrial(site.copy(kinds = kinds, disturbances = disturbances).scaled(2.0), seed = 1, load = 1.5).run()
+        }
+
+        private fun List<JobsRow>.inAimShare(name: String) = first { it.name == name }.let { it.inAim.toDouble() / it.asked }
+
+        @Test
+        fun `the urgent kind is served best and the largest jobs at least half as often as their kind`() {
+            val rows = JobsReport.rows(play())
+            assertTrue(rows.first().refused > 0, "no shortage: ${rows.first()}")
+            assertTrue(rows.inAimShare("short") > rows.inAimShare("long"), "$rows")
+            for (kind in listOf("short", "long")) {
+                assertTrue(rows.inAimShare("$kind, largest tenth") >= rows.inAimShare(kind) / 2, "$rows")
+            }
+        }
+
+        @Test
+        fun `after the bursts jobs are served as without them`() {
+            val after = { job: SimulatedJob -> job.arrivedAt > JobsTrial.START_UP_TIME + 8.seconds }
+            val undisturbed = JobsReport.rows(play(emptyList()).filter(after)).inAimShare("all")
+            val rows = JobsReport.rows(play().filter(after))
+            assertTrue(rows.inAimShare("all") >= undisturbed * UNDISTURBED_IN_TIME_SHARE, "$undisturbed, $rows")
+        }
+
+        @Test
+        fun `a quarter of the targets cut off at the peak costs each kind at most half of its service`() {
+            val cut = Disturbance(Disturbance.Kind.CUT, 4.seconds, 2.seconds, share = 0.25, factor = 1.0, requestKind = "")
+            val rows = JobsReport.rows(play())
+            val cutRows = JobsReport.rows(play(bursts + cut))
+            for (kind in listOf("short", "long")) {
+                assertTrue(cutRows.inAimShare(kind) >= rows.inAimShare(kind) / 2, "$rows, $cutRows")
+            }
+        }
+    }
+
     private companion object {
         /** Minimum share of jobs that must end in time, without and with disturbances. */
         const val UNDISTURBED_IN_TIME_SHARE = 0.90
