What a review of the join found: heartbeats at rest, cancels, callers

Cause (review by reading): at rest an agent's frames could be 180 ms apart, since a tick of 60 ms misses a frame that is due just after it, and an entry then passes the agent over; a reported cancel waited for the next report, so that later copies could reach a new submission of the same id; an entry that had heard nothing new for 60 s forgot its neighbours at a loss of control and moved its callers when they were listed again; the moment at which a connection is closed was drawn anew with each reply. Change: frames are due half an idle tick early at rest; a reported cancel is sent at once; what control listed last counts as listed until its next list; a connection draws its moment when it is opened. Ruled out: an id for each cancel, which would tell a late copy from a new cancel for certain: open, as a copy may still be late by a link's delay.

--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/CallerRebalancer.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/CallerRebalancer.kt
@@ -2,7 +2,6 @@
 
 import io.bluebellramp.core.IncarnationId
 import io.bluebellramp.core.ZoneId
-import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -28,6 +27,7 @@
     private val self: EntryLife,
 ) {
     private val known = LinkedHashMap<IncarnationId, Duration>()
+    private var listedBefore: List<IncarnationId> = emptyList()
     private var startedAt: Duration? = null
     private var joinedAt: Duration? = null
 
@@ -44,9 +44,12 @@
         listed: Collection<EntryLife>,
         now: Duration,
     ): List<EntryLife> {
+        // Control tells its lists only when they change, so what it listed last was there until now.
+        listedBefore.forEach { known[it] = now }
         val neighbours = listed.filter { it.zone == self.zone && it.incarnation != self.incarnation }.distinct()
         val joined = neighbours.filter { it.incarnation !in known }
         neighbours.forEach { known[it.incarnation] = now }
+        listedBefore = neighbours.map { it.incarnation }
         known.values.removeIf { now - it > MEMORY }
         // What is listed while this entry starts was there before any of its callers.
         val start = startedAt ?: if (listed.isEmpty()) return emptyList() else now.also { startedAt = it }
@@ -55,15 +58,19 @@
         return joined
     }
 
-    /** Returns whether a connection that was opened at [openedAt] is kept after a reply at [now]. */
+    /**
+     * Returns whether a connection that was opened at [openedAt] is kept after a reply at [now].
+     *
+     * @param draw number from 0 to 1 that was drawn for the connection; it decides when within [SPREAD] the connection is closed
+     */
     fun keeps(
         openedAt: Duration,
+        draw: Double,
         now: Duration,
     ): Boolean {
         val settledAt = (joinedAt ?: return true) + SETTLING_TIME
         if (now < settledAt || openedAt >= settledAt) return true
-        // Each connection has a moment of its own, however many replies are sent on it.
-        if (now < settledAt + SPREAD * Random(openedAt.inWholeMicroseconds).nextDouble()) return true
+        if (now < settledAt + SPREAD * draw) return true
         closedCount++
         return false
     }
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/AgentNode.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/AgentNode.kt
@@ -227,7 +227,11 @@
             return now - since >= RETIREMENT_DELAY && id?.let { runManager.hasRunsOf(it) } != true
         }
 
-        fun isHeartbeatDue(now: Duration) = dialer.link?.let { now - it.lastSentAt >= LinkTiming.HEARTBEAT_PERIOD } == true
+        /** While ticks are rare, a frame is due a little early, since the next tick would be too late for it. */
+        fun isHeartbeatDue(now: Duration): Boolean {
+            val margin = if (isTickSlow) LinkTiming.IDLE_TICK / 2 else Duration.ZERO
+            return dialer.link?.let { now - it.lastSentAt >= LinkTiming.HEARTBEAT_PERIOD - margin } == true
+        }
 
         fun add(report: TaskReport) {
             outcomes += report
@@ -236,6 +240,7 @@
 
         fun addCancel(job: JobId) {
             cancels += job
+            hasUrgentOutcomes = true
         }
 
         /** Sends the outcomes and cancels, and [capacity] if it has changed. */
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/node/EntryNode.kt
@@ -77,10 +77,17 @@
     /** Number of callers that were asked to connect again. */
     val callersMoved: Long get() = rebalancer?.closedCount ?: 0
 
-    /** Returns whether the connection of a caller that was opened [age] ago is kept after its next reply. */
-    fun keepsCaller(age: Duration): Boolean {
+    /**
+     * Returns whether the connection of a caller that was opened [age] ago is kept after its next reply.
+     *
+     * @param draw random number from 0 to 1 that stays the same for the connection
+     */
+    fun keepsCaller(
+        age: Duration,
+        draw: Double,
+    ): Boolean {
         val now = clock.monotonic()
-        return rebalancer?.keeps(openedAt = now - age, now) ?: true
+        return rebalancer?.keeps(openedAt = now - age, draw, now) ?: true
     }
 
     /** Starts to connect to control and to listen for agents. */
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/CallerRebalancerTest.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/CallerRebalancerTest.kt
@@ -30,18 +30,18 @@
 
         @Test
         fun `is found by the load balancer before any caller is sent there`() {
-            assertTrue(rebalancer.keeps(openedAt = 12.seconds, now = backAt + CallerRebalancer.SETTLING_TIME - 1.milliseconds))
+            assertTrue(rebalancer.keeps(openedAt = 12.seconds, draw = 0.5, now = backAt + CallerRebalancer.SETTLING_TIME - 1.milliseconds))
         }
 
         @Test
         fun `gets its callers back although each of them stays connected`() {
-            assertFalse(rebalancer.keeps(openedAt = 12.seconds, now = backAt + CallerRebalancer.SETTLING_TIME + CallerRebalancer.SPREAD))
+            assertFalse(rebalancer.keeps(openedAt = 12.seconds, draw = 0.5, now = backAt + CallerRebalancer.SETTLING_TIME + CallerRebalancer.SPREAD))
         }
 
         @Test
         fun `leaves callers alone that have connected since`() {
             val settledAt = backAt + CallerRebalancer.SETTLING_TIME
-            assertTrue(rebalancer.keeps(openedAt = settledAt, now = settledAt + 1.seconds * 30))
+            assertTrue(rebalancer.keeps(openedAt = settledAt, draw = 0.5, now = settledAt + 1.seconds * 30))
         }
 
         @Test
@@ -49,7 +49,7 @@
             val settledAt = backAt + CallerRebalancer.SETTLING_TIME
             val closedAfter =
                 List(CALLERS) { caller ->
-                    replies().first { !rebalancer.keeps(openedAt = 12.seconds + caller.milliseconds * 7, now = settledAt + it) }
+                    replies().first { !rebalancer.keeps(openedAt = 12.seconds, draw = caller.toDouble() / CALLERS, now = settledAt + it) }
                 }
             val busiest =
                 closedAfter
@@ -68,7 +68,7 @@
     fun `entries that start together keep their callers`() {
         rebalancer.update(listOf(self), 0.seconds)
         rebalancer.update(listOf(self, neighbour), 2.seconds)
-        assertTrue(rebalancer.keeps(openedAt = 1.seconds, now = 30.seconds))
+        assertTrue(rebalancer.keeps(openedAt = 1.seconds, draw = 0.5, now = 30.seconds))
     }
 
     @Test
@@ -76,14 +76,14 @@
         rebalancer.update(listOf(self), 0.seconds)
         val joined = rebalancer.update(listOf(self, restarted.copy(zone = ZoneId("b"))), 20.seconds)
         assertEquals(emptyList(), joined)
-        assertTrue(rebalancer.keeps(openedAt = 1.seconds, now = 60.seconds))
+        assertTrue(rebalancer.keeps(openedAt = 1.seconds, draw = 0.5, now = 60.seconds))
     }
 
     @Test
     fun `a control that forgets the entries for a moment moves no callers`() {
         rebalancer.update(listOf(self, neighbour), 0.seconds)
-        rebalancer.update(emptyList(), 20.seconds)
-        assertEquals(emptyList(), rebalancer.update(listOf(self, neighbour), 25.seconds))
+        rebalancer.update(emptyList(), 100.seconds)
+        assertEquals(emptyList(), rebalancer.update(listOf(self, neighbour), 105.seconds))
     }
 
     private companion object {
--- a/transport/src/main/kotlin/io/bluebellramp/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/io/bluebellramp/transport/HttpServer.kt
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import org.tinylog.kotlin.Logger
 import java.io.IOException
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.nanoseconds
 import kotlin.time.Duration.Companion.seconds
@@ -44,8 +45,15 @@
 
 /** Decides whether a connection is kept for further requests. */
 fun interface ConnectionRetention {
-    /** Returns whether a connection that was opened [age] ago is kept after the reply that is about to be sent on it. */
-    fun keeps(age: Duration): Boolean
+    /**
+     * Returns whether a connection that was opened [age] ago is kept after the reply that is about to be sent on it.
+     *
+     * @param draw random number from 0 to 1 that stays the same for the connection
+     */
+    fun keeps(
+        age: Duration,
+        draw: Double,
+    ): Boolean
 }
 
 /**
@@ -60,7 +68,7 @@
     internal val loop: EventLoop,
     private val address: Address,
     private val limits: () -> HttpLimits,
-    internal val retention: ConnectionRetention = ConnectionRetention { true },
+    internal val retention: ConnectionRetention = ConnectionRetention { _, _ -> true },
     private val handler: HttpHandler,
 ) {
     private val connections = HashSet<HttpConnection>()
@@ -155,6 +163,7 @@
     private var current: Exchange? = null
     private var receivingSinceNanos: Long? = null
     private val openedAtNanos = System.nanoTime()
+    private val draw = Random.nextDouble()
     private var idleSinceNanos = openedAtNanos
 
     /** True once a body was refused: the connection takes no further request. */
@@ -279,7 +288,7 @@
             idleSinceNanos = now
             // A request that has already arrived is still served here.
             val isKept =
-                pendingRequests.isNotEmpty() || receivingSinceNanos != null || server.retention.keeps((now - openedAtNanos).nanoseconds)
+                pendingRequests.isNotEmpty() || receivingSinceNanos != null || server.retention.keeps((now - openedAtNanos).nanoseconds, draw)
             write(response, keepsAlive && isKept)
             handleNext()
         }
--- a/transport/src/test/kotlin/io/bluebellramp/transport/HttpServerTest.kt
+++ b/transport/src/test/kotlin/io/bluebellramp/transport/HttpServerTest.kt
@@ -21,7 +21,7 @@
     @Volatile
     private var keepsConnections = true
     private val server =
-        HttpServer(loop, address, { HttpLimits(maxHeaderBytes = 512, maxBodyBytes = 100) }, { keepsConnections }) { calls.add(it) }
+        HttpServer(loop, address, { HttpLimits(maxHeaderBytes = 512, maxBodyBytes = 100) }, { _, _ -> keepsConnections }) { calls.add(it) }
 
     @AfterEach
     fun close() = loop.close()
