The choice by objective leaves time for the steps that follow

Cause (review by reading): a step that others depend on was given the whole time until the objective, so a slow target could use up theirs. Change: the estimated path after the step is taken off, as admission does. Ruled out: nothing else reads it.

--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/JobRequest.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/JobRequest.kt
@@ -24,6 +24,18 @@
                 ends.apply { add((step.dependsOn.maxOfOrNull { this[it] } ?: Duration.ZERO) + step.estimate) }
             }.maxOrNull() ?: Duration.ZERO
 
+    /** Estimated run time of the longest path through the steps that depend on each step, by step. */
+    private val pathAfter: List<Duration> =
+        steps.indices
+            .reversed()
+            .fold(HashMap<Int, Duration>()) { paths, step ->
+                val dependents = steps.indices.filter { step in steps[it].dependsOn }
+                paths.apply { put(step, dependents.maxOfOrNull { getValue(it) + steps[it].estimate } ?: Duration.ZERO) }
+            }.let { paths -> steps.indices.map { paths.getValue(it) } }
+
+    /** Returns the estimated run time of what must follow [step] before the job is done. */
+    fun pathAfter(step: Int): Duration = pathAfter[step]
+
     /** Estimated processor time of all tasks (core-microseconds). */
     val cpuMicros: Long = steps.sumOf { it.cpuMicros * it.count }
 
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/JobScheduler.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/JobScheduler.kt
@@ -373,7 +373,14 @@
         for ((step, waiting) in ready) {
             val body = job.request.steps[step]
             val slack = latestStart(job, body) - now
-            val tasksByLink = chooseAgents(body, waiting, capacities.candidates(job), slack, limitBySpeed(job.dueAt - now))
+            val tasksByLink =
+                chooseAgents(
+                    body,
+                    waiting,
+                    capacities.candidates(job),
+                    slack,
+                    limitBySpeed(job.dueAt - now - job.request.pathAfter(step)),
+                )
             tasksByLink.forEach { (link, tasks) ->
                 dispatchTasks(job, link, step, tasks, longestWaitAtAgent(slack))
                 capacities.tasksSent(link)
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/CallerRebalancerTest.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/CallerRebalancerTest.kt
@@ -35,7 +35,14 @@
 
         @Test
         fun `gets its callers back although each of them stays connected`() {
-            assertFalse(rebalancer.keeps(openedAt = 12.seconds, draw = 0.5, now = backAt + CallerRebalancer.SETTLING_TIME + CallerRebalancer.SPREAD))
+            assertFalse(
+                rebalancer.keeps(
+                    openedAt = 12.seconds,
+                    draw = 0.5,
+                    now =
+                        backAt + CallerRebalancer.SETTLING_TIME + CallerRebalancer.SPREAD,
+                ),
+            )
         }
 
         @Test
--- a/transport/src/main/kotlin/io/bluebellramp/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/io/bluebellramp/transport/HttpServer.kt
@@ -288,7 +288,8 @@
             idleSinceNanos = now
             // A request that has already arrived is still served here.
             val isKept =
-                pendingRequests.isNotEmpty() || receivingSinceNanos != null || server.retention.keeps((now - openedAtNanos).nanoseconds, draw)
+                pendingRequests.isNotEmpty() || receivingSinceNanos != null ||
+                    server.retention.keeps((now - openedAtNanos).nanoseconds, draw)
             write(response, keepsAlive && isKept)
             handleNext()
         }
