An order to stop without an answer lets the leases of the target run out

Cause: a lease call extends the leases of all runs at a target, also of a run that is being stopped and whose orders to stop got no answer. The entry takes that run for ended by time and places its task again. Ruled out: a late order to start (the first runs were answered and listed); the lists; the fence. Change: no lease reaches beyond the duration of a lease after a run was first to be stopped, until an order to stop it is answered; a run that the target does not list withholds nothing. Orders to stop are repeated each 30 ms, so that the other runs rarely end. Why it works: whether or not an order to stop arrives, the target itself ends the run with its lease.

--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/Run.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/Run.kt
@@ -44,6 +44,9 @@
     /** When the order to start failed without an answer, or null. */
     var startUnansweredAt: Duration? = null
 
+    /** When the run was first to be stopped, or null. */
+    var stopRequestedAt: Duration? = null
+
     /** When the last order to stop the run was sent, or null. */
     var stopSentAt: Duration? = null
 
@@ -68,6 +71,23 @@
         return now - percentSince
     }
 
+    /** True if the latest list that can tell does not name the run, so that it is not at work unless its order to start is carried out late. */
+    var isUnlisted = false
+        private set
+
+    /** Updates [isUnlisted] from a list requested at [requestedAt]. Its silence tells nothing if the order to start may have been under way. */
+    fun updateListing(
+        isListed: Boolean,
+        requestedAt: Duration,
+    ) {
+        val settledAt = confirmedAt ?: startUnansweredAt
+        if (isListed) {
+            isUnlisted = false
+        } else if (settledAt != null && settledAt < requestedAt) {
+            isUnlisted = true
+        }
+    }
+
     var refusals = 0
     val estimate get() = dispatch.estimateMillis.milliseconds
     val key get() = RunKey(task, number)
@@ -87,6 +107,9 @@
             }
     val usesCapacity get() = state != RunState.QUEUED
 
+    /** True if the target has answered the order to stop, so that the run ends without its lease. */
+    val isStopAnswered get() = state == RunState.STOPPING && stopAnsweredAt != null
+
     /** Creates the report to the entry. */
     fun report(
         event: TaskEvent,
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/RunManager.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/RunManager.kt
@@ -41,6 +41,9 @@
  * It keeps the target within its capacity, holds a short lease on all runs, and stops the runs of an entry whose link is lost. A run uses
  * capacity from the order to start it until the target lists its end, or until it can no longer be running.
  *
+ * Orders to stop may stay unanswered, and a target extends the leases of all its runs at once. So no lease is extended beyond the time by which one
+ * of the runs must have ended ([leaseLimit]), although the other runs then end with it.
+ *
  * @param zone availability zone of the VM
  * @param lease time after which the target ends all runs if this agent does not extend the lease
  * @param fence greater than the fence of every earlier agent of this target
@@ -51,7 +54,7 @@
     private val target: TargetPort,
     private val outputs: RunOutputs,
     private val zone: ZoneId,
-    lease: Duration,
+    private val lease: Duration,
     private var fence: Long,
     longestLease: Duration = lease,
 ) {
@@ -67,6 +70,7 @@
     /** Runs that an earlier agent left. Their needs are unknown, so nothing starts until they have ended. */
     private val orphanedRuns = HashSet<RunKey>()
     private val targetLease = TargetLease(clock, lease, longestLease)
+    private var isLeaseWithheld = false
     private var acknowledged = 0L
 
     /** Number of runs that are not over, including those that wait for capacity. */
@@ -98,10 +102,17 @@
                 zone in zonesOut -> "zone $zone is out of service"
                 isStopping -> "the agent stops"
                 !targetLease.isReachable -> "the target cannot be reached"
+                isLeaseRunningOut -> "the leases are not extended"
                 else -> null
             }
         }
 
+    /** The time by which every lease must have ended. */
+    private val leaseLimit: Duration get() = runs.values.minOfOrNull { leaseLimit(it) } ?: Duration.INFINITE
+
+    /** True if a run started now would soon end with its lease. */
+    private val isLeaseRunningOut get() = leaseLimit < clock.monotonic() + SHORTEST_LEASE
+
     /** Sets the availability zones that get no new runs. */
     fun setZonesOut(zones: Set<ZoneId>) {
         zonesOut = zones
@@ -252,9 +263,32 @@
             val isOpen = run.state == RunState.STOPPING && run.stopAnsweredAt == null
             if (isOpen && sent != null && now - sent > STOP_RETRY_PERIOD) sendStop(run)
         }
+        recordWithheldLease(now)
         advance()
     }
 
+    /** The time by which the leases must have ended so that [run] ends in time whether or not its order to stop arrives. */
+    private fun leaseLimit(run: Run): Duration {
+        val cannotGoOn = run.isStopAnswered || (run.isUnlisted && targetLease.isReachable)
+        if (cannotGoOn) return Duration.INFINITE
+        return run.stopRequestedAt?.plus(lease) ?: Duration.INFINITE
+    }
+
+    /** Logs when leases begin and cease to run out for the sake of one run. */
+    private fun recordWithheldLease(now: Duration) {
+        if (isLeaseWithheld == isLeaseRunningOut) return
+        isLeaseWithheld = isLeaseRunningOut
+        val cause = runs.values.minByOrNull { leaseLimit(it) }
+        if (!isLeaseWithheld || cause == null) return recordDecision("leases_extended", null, "runs" to runs.size)
+        recordDecision(
+            "leases_withheld",
+            cause,
+            "limit" to leaseLimit(cause) - now,
+            "stop_age" to (cause.stopRequestedAt?.let { now - it } ?: "none"),
+            "runs" to runs.size,
+        )
+    }
+
     private fun onTargetSeen(next: TargetDescription) {
         recordDecision("target_seen", null, "target" to next.id, "life" to next.life, "cpu" to next.milliCpu)
         forgetTarget("another target is at this address")
@@ -322,7 +356,7 @@
     private fun startFitting(now: Duration) {
         val current = currentTarget ?: return
         while (queue.size > 0) {
-            val until = targetLease.leaseEndFrom(now) ?: return
+            val until = targetLease.leaseEndFrom(now, leaseLimit) ?: return
             val run = queue.takeFitting(now, current.milliCpu - usedMilliCpu, current.memoryMb - usedMemoryMb) ?: return
             sendStart(run, current, until, now)
         }
@@ -406,6 +440,7 @@
     ) {
         if (run.state == RunState.STOPPING) return
         run.state = RunState.STOPPING
+        run.stopRequestedAt = clock.monotonic()
         run.stopReason = reason
         recordDecision("stopping", run, "reason" to reason)
         sendStop(run)
@@ -422,11 +457,11 @@
         // The leases of a target that has left are not extended; it is called only to find out whether another one has taken its place.
         if (identity.hasLeft && !identity.isUnconfirmed) return
         val now = clock.monotonic()
-        val until = targetLease.leaseEndFrom(now)
+        val until = targetLease.leaseEndFrom(now, leaseLimit)
         val number = targetLease.callStarted()
         if (until != null) targetLease.granted(now)
         // The first answer is needed at once to learn the clock of the target.
-        val isUrgent = until == null || orphanedRuns.isNotEmpty() || identity.isUnconfirmed || hasUncertainRun()
+        val isUrgent = !targetLease.isClockKnown || orphanedRuns.isNotEmpty() || identity.isUnconfirmed || hasUncertainRun()
         val wait = if (isUrgent) Duration.ZERO else MAX_LEASE_ANSWER_DELAY
         target.lease(current.id, until, acknowledged, fence, wait) { if (targetLease.isLatestCall(number)) onLeaseResult(it, sentAt = now) }
     }
@@ -517,6 +552,7 @@
         }
         if (!list.isComplete) return
         for (run in runs.values.toList()) {
+            run.updateListing(isListed = run.key in running, requestedAt = sentAt)
             val lastAnswerAt = run.lastAnswerAt ?: continue
             if (run.key in running || lastAnswerAt >= sentAt) continue
             when (run.state) {
@@ -603,7 +639,11 @@
          */
         val MAX_LEASE_ANSWER_DELAY = 150.milliseconds
 
-        val STOP_RETRY_PERIOD = 100.milliseconds
+        /** Lets several orders to stop a run be tried before its lease must end. A target answers within 1 or 2 ms. */
+        val STOP_RETRY_PERIOD = 30.milliseconds
+
+        /** With less than this left until the leases must end, new runs are not worth their start. */
+        val SHORTEST_LEASE = 200.milliseconds
 
         /** Number of retries of an order to start after refusals that the agent can correct. */
         const val MAX_START_RETRIES = 5
--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/TargetLease.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/TargetLease.kt
@@ -35,8 +35,18 @@
     var isReachable = false
         private set
 
-    /** Returns the end of a lease granted at [now] on the clock of the target, or null while that clock is unknown. */
-    fun leaseEndFrom(now: Duration): Duration? = targetClock?.let { it.earliestAt(now) + duration }
+    /** True while the clock of the target is known. */
+    val isClockKnown: Boolean get() = targetClock != null
+
+    /**
+     * Returns the end of a lease granted at [now] on the clock of the target, or null if that clock is unknown.
+     *
+     * @param limit local time by which the lease must have ended; if it has passed, no lease can be granted and null is returned
+     */
+    fun leaseEndFrom(
+        now: Duration,
+        limit: Duration = Duration.INFINITE,
+    ): Duration? = targetClock?.takeIf { limit > now }?.let { minOf(it.earliestAt(now) + duration, it.earliestAt(limit)) }
 
     /** Records that a lease is granted at [now], by a lease call or with an order to start. */
     fun granted(now: Duration) {
