A new agent does not extend the leases of runs that an earlier one left

Callers may see: a task run twice at once, or "not run" while a run is at work, after an agent was killed and started again quickly. Cause: the lease calls of the new agent extended the leases of the runs that it had found and could not stop yet. Ruled out: an entry that waits longer; it cannot know when the next agent is up. Change: no lease is extended while the target lists runs that this agent has not started; it starts nothing in that time anyway. Evidence: LeaseLimitTest failed before in the case of the earlier agent and passes; RunManagerTest passes. Why it works: the last lease of the killed agent ends before the entry takes its runs for over.

--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/RunManager.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/RunManager.kt
@@ -107,11 +107,12 @@
             }
         }
 
-    /** The time by which every lease must have ended. */
-    private val leaseLimit: Duration get() = runs.values.minOfOrNull { leaseLimit(it) } ?: Duration.INFINITE
+    /** The time by which every lease must have ended. No lease is extended while there are runs that nobody here has started. */
+    private val leaseLimit: Duration
+        get() = if (orphanedRuns.isEmpty()) runs.values.minOfOrNull { leaseLimit(it) } ?: Duration.INFINITE else Duration.ZERO
 
     /** True if a run started now would soon end with its lease. */
-    private val isLeaseRunningOut get() = leaseLimit < clock.monotonic() + SHORTEST_LEASE
+    private val isLeaseRunningOut get() = orphanedRuns.isEmpty() && leaseLimit < clock.monotonic() + SHORTEST_LEASE
 
     /** Sets the availability zones that get no new runs. */
     fun setZonesOut(zones: Set<ZoneId>) {
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/LeaseLimitTest.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/LeaseLimitTest.kt
@@ -181,4 +181,19 @@
             assertEquals(null, target.leases.last().until)
         }
     }
+
+    @Nested
+    inner class UnknownRuns {
+        private val orphanedRun = RunKey(TaskKey(stoppedJob, 0, 0), 3)
+
+        // Guards against a run of a killed agent that the next agent keeps at work while its task is placed elsewhere.
+        @Test
+        fun `runs that an earlier agent left get no lease`() {
+            announce()
+            target.answerLease(running = listOf(orphanedRun))
+            assertEquals(null, granted())
+            target.answerLease(ended = listOf(orphanedRun to RunEnd.STOPPED))
+            assertEquals(lease, granted())
+        }
+    }
 }
