A target that has left gets no lease with the question who has taken its place

Callers may see: a task held for one more lease after its target left, while another target announces itself at the address. Cause: the call that asks which target is there extended the leases of the one that had left. Ruled out: a broken promise; the lease was counted, and the runs were taken for over only after it. Change: that call carries no lease. Evidence: LeaseLimitTest, LeavingTarget, failed before and passes; RunManagerTest passes. Why it works: a call without an end of the lease extends nothing.

--- a/jobs/src/main/kotlin/io/bluebellramp/jobs/RunManager.kt
+++ b/jobs/src/main/kotlin/io/bluebellramp/jobs/RunManager.kt
@@ -458,7 +458,7 @@
         // The leases of a target that has left are not extended; it is called only to find out whether another one has taken its place.
         if (identity.hasLeft && !identity.isUnconfirmed) return
         val now = clock.monotonic()
-        val until = targetLease.leaseEndFrom(now, leaseLimit)
+        val until = if (identity.hasLeft) null else targetLease.leaseEndFrom(now, leaseLimit)
         val number = targetLease.callStarted()
         if (until != null) targetLease.granted(now)
         // The first answer is needed at once to learn the clock of the target.
--- a/jobs/src/test/kotlin/io/bluebellramp/jobs/LeaseLimitTest.kt
+++ b/jobs/src/test/kotlin/io/bluebellramp/jobs/LeaseLimitTest.kt
@@ -196,4 +196,20 @@
             assertEquals(lease, granted())
         }
     }
+
+    @Nested
+    inner class LeavingTarget {
+        // Guards against runs that go on after their target has said that they end with it.
+        @Test
+        fun `a target that has left gets no lease while it is asked whether another one has taken its place`() {
+            announce()
+            target.answerLease()
+            start(stoppedJob)
+            val calls = target.leases.size
+            runManager.targetLeft(TargetId("t1"))
+            announce(id = "t2")
+            assertEquals(calls + 1, target.leases.size)
+            assertEquals(null, granted())
+        }
+    }
 }
