--- a/entry/src/test/kotlin/io/bluebellramp/entry/EntryDispatchTest.kt
+++ b/entry/src/test/kotlin/io/bluebellramp/entry/EntryDispatchTest.kt
@@ -92,6 +92,17 @@
             assertEquals(AnswerOutcome.FAILED to 1, driver.answer(id)?.outcome to driver.answer(id)?.startedTasks)
         }
 
+        // Guards against a task that runs twice at once because the time of its call has passed while the target is still at work on it.
+        @Test
+        fun `is not attempted again if its outcome is unknown, as after a call that ran out of time`() {
+            driver.renewLease()
+            val link = driver.connectAgent(slots = 1)
+            val id = driver.submit(1)
+            driver.report(link, driver.takeFrame(link)!!.dispatches, TaskStatus.UNKNOWN, credits = 1)
+            assertEquals(emptyList(), driver.takeFrame(link)?.dispatches.orEmpty())
+            assertEquals(AnswerOutcome.FAILED, driver.answer(id)?.outcome)
+        }
+
         @Test
         fun `is retried within the retry budget if it is idempotent and fails`() {
             driver.renewLease()
